--- /dev/null
+++ b/lib/decision/config/compile.go
@@ -0,0 +1,195 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiarack.example/lib/input/register"
+	"cassiarack.example/lib/input/rules"
+)
+
+// compiler collects the faults of one compilation.
+type compiler struct {
+	conf   *Configuration
+	floors map[string]rules.Floor
+	faults Errors
+}
+
+func (c *compiler) fault(op string, kind Kind, found, allowed string) {
+	c.faults = append(c.faults, &Error{Op: op, Kind: kind, Found: found, Allowed: allowed})
+}
+
+func (c *compiler) services(ss []register.Service) {
+	for _, s := range ss {
+		if _, dup := c.conf.Services[s.Name]; dup {
+			c.fault("services", KindDuplicate, strconv.Quote(s.Name), "")
+			continue
+		}
+		svc := &Service{Name: s.Name, Slots: s.Slots, Connections: s.Connections}
+		c.conf.Services[s.Name] = svc
+		c.prefix("/"+s.Name+"/", svc)
+		for _, r := range s.Routes {
+			c.prefix(r, svc)
+		}
+	}
+}
+
+func (c *compiler) prefix(path string, s *Service) {
+	if other, dup := c.conf.Prefixes[path]; dup {
+		c.fault("routes", KindOverlap, fmt.Sprintf("%q at services %s and %s", path, other.Name, s.Name),
+			"each path prefix once")
+		return
+	}
+	c.conf.Prefixes[path] = s
+}
+
+func (c *compiler) organisations(orgs []register.Organisation) {
+	for _, o := range orgs {
+		if _, dup := c.conf.Organisations[o.Name]; dup {
+			c.fault("organisations", KindDuplicate, strconv.Quote(o.Name), "")
+			continue
+		}
+		c.conf.Organisations[o.Name] = o.Weight
+	}
+}
+
+func (c *compiler) vms(vms []register.VM) {
+	for _, v := range vms {
+		if _, dup := c.conf.VMs[v.Name]; dup {
+			c.fault("vms", KindDuplicate, strconv.Quote(v.Name), "")
+			continue
+		}
+		vm := &VM{Name: v.Name, Region: v.Region, DataCentre: v.DataCentre, Node: v.Node}
+		c.conf.VMs[v.Name] = vm
+		for _, i := range v.Instances {
+			c.instance(vm, i)
+		}
+	}
+}
+
+func (c *compiler) instance(vm *VM, i register.Instance) {
+	svc, ok := c.conf.Services[i.Service]
+	if !ok {
+		c.fault("instances", KindUnknown, fmt.Sprintf("service %q of instance %q", i.Service, i.Name),
+			"a service of the register")
+		return
+	}
+	if _, dup := c.conf.Instances[i.Name]; dup {
+		c.fault("instances", KindDuplicate, strconv.Quote(i.Name), "")
+		return
+	}
+	inst := &Instance{Name: i.Name, Address: i.Address, VM: vm, Service: svc}
+	c.conf.Instances[i.Name] = inst
+	vm.Instances = append(vm.Instances, inst)
+	svc.Instances = append(svc.Instances, inst)
+}
+
+func (c *compiler) rules(r *rules.Rules) {
+	for _, i := range r.Idempotent {
+		if s := c.service("idempotent", i.Service); s != nil {
+			s.Idempotent = append(s.Idempotent, i)
+		}
+	}
+	for _, f := range r.Floors {
+		c.floor(f)
+	}
+	for _, l := range r.Leaving {
+		c.leaving(l)
+	}
+}
+
+func (c *compiler) service(op, name string) *Service {
+	s, ok := c.conf.Services[name]
+	if !ok {
+		c.fault(op, KindUnknown, "service "+strconv.Quote(name), "a service of the register")
+	}
+	return s
+}
+
+func (c *compiler) floor(f rules.Floor) {
+	if c.service("floors", f.Service) == nil {
+		return
+	}
+	if _, dup := c.floors[f.Service]; dup {
+		c.fault("floors", KindDuplicate, "a second floor of service "+strconv.Quote(f.Service), "one floor for a service")
+		return
+	}
+	if c.floors == nil {
+		c.floors = make(map[string]rules.Floor)
+	}
+	c.floors[f.Service] = f
+}
+
+func (c *compiler) leaving(l rules.Leaving) {
+	if l.VM != "" {
+		vm, ok := c.conf.VMs[l.VM]
+		if !ok {
+			c.fault("leaving", KindUnknown, "VM "+strconv.Quote(l.VM), "a VM of the register")
+			return
+		}
+		for _, i := range vm.Instances {
+			i.Leaving = true
+		}
+		return
+	}
+	inst, ok := c.conf.Instances[l.Instance]
+	if !ok {
+		c.fault("leaving", KindUnknown, "instance "+strconv.Quote(l.Instance), "an instance of the register")
+		return
+	}
+	if inst.Leaving {
+		c.fault("leaving", KindDuplicate, "instance "+strconv.Quote(l.Instance), "each instance once")
+	}
+	inst.Leaving = true
+}
+
+// finish sorts the instances and derives floors and assignments.
+func (c *compiler) finish() {
+	if len(c.conf.VMs) == 0 {
+		c.fault("vms", KindEmpty, "no VM", "at least one VM")
+	}
+	for _, s := range c.conf.Services {
+		slices.SortFunc(s.Instances, func(a, b *Instance) int { return strings.Compare(a.Name, b.Name) })
+		n := len(s.Instances)
+		s.Floor = floorOf(c.floors, s.Name, n)
+		if s.Floor > n {
+			c.fault("floors", KindFloor, fmt.Sprintf("%d for service %q", s.Floor, s.Name),
+				fmt.Sprintf("at most %d instances", n))
+		}
+		s.Assignment = assignment(s)
+	}
+}
+
+// floorOf returns the floor of a service with n instances. Without a rule it
+// is two thirds, which leaves room for the loss of one of three data centres.
+func floorOf(floors map[string]rules.Floor, service string, n int) int {
+	f, ok := floors[service]
+	switch {
+	case !ok:
+		return (2*n + 2) / 3
+	case f.Percent:
+		return (n*f.Healthy + 99) / 100
+	default:
+		return f.Healthy
+	}
+}
+
+// assignment hashes what the distribution of ejection tokens depends on.
+func assignment(s *Service) uint64 {
+	h := xxhash.New()
+	write := func(parts ...string) {
+		for _, p := range parts {
+			// A write to a hash never fails.
+			_, _ = h.WriteString(strconv.Itoa(len(p)) + ":" + p)
+		}
+	}
+	write(s.Name, strconv.Itoa(s.Floor))
+	for _, i := range s.Instances {
+		write(i.Name, i.VM.Name, i.VM.DataCentre, strconv.FormatBool(i.Leaving))
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/lib/decision/config/config.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"cassiarack.example/lib/input/register"
+	"cassiarack.example/lib/input/rules"
+)
+
+// Revision identifies a configuration. Number orders revisions; Digest tells
+// two with the same number apart.
+type Revision struct {
+	Number uint64
+	Digest [32]byte
+}
+
+// Configuration is the register and the rules of one revision.
+type Configuration struct {
+	Revision      Revision
+	VMs           map[string]*VM
+	Instances     map[string]*Instance
+	Services      map[string]*Service
+	Organisations map[string]int
+	// Prefixes maps each path prefix to its service.
+	Prefixes map[string]*Service
+}
+
+// VM is a machine with one node.
+type VM struct {
+	Name       string
+	Region     string
+	DataCentre string
+	Node       netip.AddrPort
+	Instances  []*Instance
+}
+
+// Instance is one backend server.
+type Instance struct {
+	Name    string
+	Address netip.AddrPort
+	VM      *VM
+	Service *Service
+	// Leaving is set when the rules mark the instance or its VM.
+	Leaving bool
+}
+
+// Service is a set of instances that serve the same requests.
+type Service struct {
+	Name        string
+	Slots       int
+	Connections int
+	// Instances are ordered by name.
+	Instances []*Instance
+	// Floor is the number of healthy instances that ejection must leave.
+	Floor      int
+	Idempotent []rules.Idempotent
+	// Assignment identifies instances, leaving marks and floor. Ejection
+	// leases of another assignment do not count.
+	Assignment uint64
+}
+
+// Leaving returns the number of instances marked as leaving.
+func (s *Service) Leaving() int {
+	n := 0
+	for _, i := range s.Instances {
+		if i.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// VMs returns the distinct VMs of the service, ordered by name.
+func (s *Service) VMs() []*VM {
+	var out []*VM
+	for _, i := range s.Instances {
+		out = append(out, i.VM)
+	}
+	slices.SortFunc(out, func(a, b *VM) int { return strings.Compare(a.Name, b.Name) })
+	return slices.Compact(out)
+}
+
+// Compile builds the configuration of a revision. The error holds all
+// contradictions as Errors.
+func Compile(rev Revision, regs []*register.Register, rs []*rules.Rules) (*Configuration, error) {
+	c := &compiler{conf: &Configuration{
+		Revision:      rev,
+		VMs:           make(map[string]*VM),
+		Instances:     make(map[string]*Instance),
+		Services:      make(map[string]*Service),
+		Organisations: make(map[string]int),
+		Prefixes:      make(map[string]*Service),
+	}}
+	for _, r := range regs {
+		c.services(r.Services)
+		c.organisations(r.Organisations)
+	}
+	for _, r := range regs {
+		c.vms(r.VMs)
+	}
+	for _, r := range rs {
+		c.rules(r)
+	}
+	c.finish()
+	if len(c.faults) > 0 {
+		return nil, c.faults
+	}
+	return c.conf, nil
+}
--- /dev/null
+++ b/lib/decision/config/errors.go
@@ -0,0 +1,47 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindUnknown   Kind = "unknown name"
+	KindDuplicate Kind = "name used twice"
+	KindFloor     Kind = "floor above the number of instances"
+	KindOverlap   Kind = "path prefix used twice"
+	KindEmpty     Kind = "nothing configured"
+)
+
+// Error is a contradiction between parts of the register and the rules.
+type Error struct {
+	Op      string
+	Kind    Kind
+	Found   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("config: %s: %s: found %s", e.Op, e.Kind, e.Found)
+	if e.Allowed != "" {
+		s += "; allowed: " + e.Allowed
+	}
+	return s
+}
+
+// Errors holds all contradictions.
+type Errors []*Error
+
+// Error implements error; each contradiction stands on a line of its own.
+func (es Errors) Error() string {
+	lines := make([]string, len(es))
+	for i, e := range es {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/lib/decision/route/route.go
@@ -0,0 +1,90 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cassiarack.example/lib/decision/config"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindNotFound Kind = "no route"
+)
+
+// Error is the error of package route.
+type Error struct {
+	Op   string
+	Kind Kind
+	Path string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("route: %s: %s for path %q", e.Op, e.Kind, e.Path)
+}
+
+// Route is what a configuration says about a request.
+type Route struct {
+	Service *config.Service
+	// Prefix is the matched path prefix.
+	Prefix string
+	// Idempotent tells whether the work may run more than once.
+	Idempotent bool
+}
+
+// Name identifies requests that are expected to take about the same time.
+func (r Route) Name(method string) string { return method + " " + r.Prefix }
+
+// Find returns the route of a request, or an error of kind KindNotFound.
+//
+// It tries the prefixes that end at a slash of the path and the path itself,
+// longest first, so that its cost grows with the depth of the path and not
+// with the number of routes.
+func Find(c *config.Configuration, method, path string) (Route, error) {
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
+		if r, ok := lookup(c, method, path, path[:end]); ok {
+			return r, nil
+		}
+		if trimmed := strings.TrimSuffix(path[:end], "/"); trimmed != path[:end] && trimmed != "" {
+			if r, ok := lookup(c, method, path, trimmed); ok {
+				return r, nil
+			}
+		}
+	}
+	return Route{}, &Error{Op: "find", Kind: KindNotFound, Path: path}
+}
+
+func lookup(c *config.Configuration, method, path, prefix string) (Route, bool) {
+	s, ok := c.Prefixes[prefix]
+	if !ok {
+		return Route{}, false
+	}
+	return Route{Service: s, Prefix: prefix, Idempotent: idempotent(s, method, path)}, true
+}
+
+func idempotent(s *config.Service, method, path string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS":
+		return true
+	}
+	for _, r := range s.Idempotent {
+		methodOK := len(r.Methods) == 0 || slices.Contains(r.Methods, method)
+		if methodOK && matches(path, r.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+// matches reports whether path is prefix or lies below it.
+func matches(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || prefix == "" || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/lib/input/register/register.go
@@ -0,0 +1,137 @@
+// Package register decodes the register: the inventory of VMs and backend
+// servers that operators take from their asset register.
+package register
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"cassiarack.example/lib/input/strict"
+)
+
+// Limits of the register.
+const (
+	MaxSlots       = 10_000
+	MaxConnections = 100_000
+	MaxWeight      = 1000
+)
+
+// Register is the inventory. Several documents may each hold a part of it.
+type Register struct {
+	VMs           []VM
+	Services      []Service
+	Organisations []Organisation
+}
+
+// VM is a machine with one node and its instances.
+type VM struct {
+	Name       string
+	Region     string
+	DataCentre string
+	// Node is the address at which the node serves other nodes: drpc on TCP
+	// and membership datagrams on UDP.
+	Node      netip.AddrPort
+	Instances []Instance
+}
+
+// Instance is one backend server.
+type Instance struct {
+	Name    string
+	Service string
+	// Address is where the backend server listens on its VM.
+	Address netip.AddrPort
+}
+
+// Service is a set of instances that serve the same requests.
+type Service struct {
+	Name string
+	// Slots is the number of requests that an instance runs at once.
+	Slots int
+	// Connections is the largest number of connections to an instance.
+	Connections int
+	// Routes are path prefixes beside the derived prefix /<name>/.
+	Routes []string
+}
+
+// Organisation is a customer.
+type Organisation struct {
+	Name string
+	// Weight is its share relative to others; the default is 1.
+	Weight int
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$`)
+
+const nameAllowed = "1 to 127 letters, digits, dots, dashes or underscores, starting with a letter or digit"
+
+// Decode decodes one document of the register. The error holds all faults of
+// the document.
+func Decode(file string, text []byte) (*Register, error) {
+	d := strict.Parse(file, text)
+	root := d.Root()
+	r := &Register{}
+	for _, o := range root.Objects("vms") {
+		r.VMs = append(r.VMs, decodeVM(o))
+	}
+	for _, o := range root.Objects("services") {
+		r.Services = append(r.Services, decodeService(o))
+	}
+	for _, o := range root.Objects("organisations") {
+		r.Organisations = append(r.Organisations, decodeOrganisation(o))
+	}
+	root.Close()
+	return r, d.Err()
+}
+
+func decodeVM(o *strict.Object) VM {
+	v := VM{
+		Name:       name(o, "name"),
+		Region:     name(o, "region"),
+		DataCentre: name(o, "dataCentre"),
+		Node:       o.AddrPort("node"),
+	}
+	o.Require("node")
+	for _, c := range o.Objects("instances") {
+		i := Instance{Name: name(c, "name"), Service: name(c, "service"), Address: c.AddrPort("address")}
+		c.Require("address")
+		c.Close()
+		v.Instances = append(v.Instances, i)
+	}
+	o.Close()
+	return v
+}
+
+func decodeService(o *strict.Object) Service {
+	s := Service{
+		Name:        name(o, "name"),
+		Slots:       o.Int("slots", 1, 1, MaxSlots),
+		Connections: o.Int("connections", 400, 1, MaxConnections),
+		Routes:      o.Strings("routes"),
+	}
+	o.Require("slots")
+	for i, r := range s.Routes {
+		if !strings.HasPrefix(r, "/") || strings.ContainsAny(r, "?# ") {
+			o.Reject("routes", fmt.Sprintf("%s as number %d", strconv.Quote(r), i+1), "a path that starts with /")
+		}
+	}
+	o.Close()
+	return s
+}
+
+func decodeOrganisation(o *strict.Object) Organisation {
+	c := Organisation{Name: name(o, "name"), Weight: o.Int("weight", 1, 1, MaxWeight)}
+	o.Close()
+	return c
+}
+
+func name(o *strict.Object, key string) string {
+	o.Require(key)
+	s := o.String(key)
+	if o.Has(key) && !namePattern.MatchString(s) {
+		o.Reject(key, strconv.Quote(s), nameAllowed)
+	}
+	return s
+}
--- /dev/null
+++ b/lib/input/strict/scalar.go
@@ -0,0 +1,77 @@
+package strict
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// String returns a string member, or the empty string.
+func (o *Object) String(name string) string {
+	s, _ := decode[string](o, name, "a string")
+	return s
+}
+
+// Strings returns an array of strings.
+func (o *Object) Strings(name string) []string {
+	var out []string
+	for i, v := range o.elements(name) {
+		key := fmt.Sprintf("%s[%d]", o.key(name), i)
+		if s, ok := decodeValue[string](o.doc, key, v, "a string"); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Bool returns a boolean member, or false.
+func (o *Object) Bool(name string) bool {
+	b, _ := decode[bool](o, name, "true or false")
+	return b
+}
+
+// Int returns an integer member between lo and hi, or def if it is missing.
+func (o *Object) Int(name string, def, lo, hi int) int {
+	allowed := fmt.Sprintf("a whole number from %d to %d", lo, hi)
+	n, ok := decode[int](o, name, allowed)
+	if !ok {
+		return def
+	}
+	if n < lo || n > hi {
+		o.Reject(name, strconv.Itoa(n), allowed)
+		return def
+	}
+	return n
+}
+
+// Duration returns a member such as "1.5s" between lo and hi, or def if it is
+// missing.
+func (o *Object) Duration(name string, def, lo, hi time.Duration) time.Duration {
+	allowed := fmt.Sprintf("a duration such as \"1.5s\" from %v to %v", lo, hi)
+	s, ok := decode[string](o, name, allowed)
+	if !ok {
+		return def
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d < lo || d > hi {
+		o.Reject(name, strconv.Quote(s), allowed)
+		return def
+	}
+	return d
+}
+
+// AddrPort returns a member such as "10.0.0.1:7000", or the zero value if it is
+// missing.
+func (o *Object) AddrPort(name string) netip.AddrPort {
+	const allowed = "an IP address and port such as \"10.0.0.1:7000\""
+	s, ok := decode[string](o, name, allowed)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		o.Reject(name, strconv.Quote(s), allowed)
+	}
+	return a
+}
--- /dev/null
+++ b/lib/ring/ring_test.go
@@ -0,0 +1,110 @@
+package ring
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/lib/golden"
+)
+
+// TestAnswers guards against a ring that blocks or drops items where it must
+// refuse them.
+func TestAnswers(t *testing.T) {
+	var b strings.Builder
+	note := func(what string, v any, err error) { fmt.Fprintf(&b, "%s: %v, %v\n", what, v, err) }
+	r := New[int](2)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := r.Take(ended)
+	note("take from empty", nil, err)
+	note("offer 1", nil, r.Offer(1))
+	note("put 2", nil, r.Put(t.Context(), 2))
+	note("offer to full", nil, r.Offer(3))
+	note("put to full", nil, r.Put(ended, 3))
+	r.Close()
+	r.Close()
+	note("offer to closed", nil, r.Offer(3))
+	for range 3 {
+		v, err := r.Take(t.Context())
+		note("take", v, err)
+	}
+	s := r.Stats()
+	fmt.Fprintf(&b, "depth %d of %d, taken %d, refused %d\n", s.Depth, s.Capacity, s.Taken, s.Refused)
+	golden.Check(t, "answers", b.String())
+}
+
+// TestManyProducers guards against lost or doubled items under contention.
+func TestManyProducers(t *testing.T) {
+	is := is.New(t)
+	const producers, each = 8, 1000
+	r := New[int](4)
+	var wg sync.WaitGroup
+	for p := range producers {
+		wg.Go(func() {
+			for i := range each {
+				if err := r.Put(t.Context(), p*each+i); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	go func() { wg.Wait(); r.Close() }()
+	seen := make(map[int]bool)
+	for {
+		v, err := r.Take(t.Context())
+		if errors.Is(err, ErrClosed) {
+			break
+		}
+		is.NoErr(err)
+		is.True(!seen[v])
+		seen[v] = true
+	}
+	is.Equal(len(seen), producers*each)
+}
+
+// TestAsk guards against a question that is never answered when the duty ends.
+func TestAsk(t *testing.T) {
+	is := is.New(t)
+	r := New[Call[int, int]](1)
+	d := Duty[Call[int, int]]{Ring: r, Handle: func(_ time.Time, c Call[int, int]) { c.Reply(c.Query * 2) }}
+	done := make(chan error)
+	go func() { done <- d.Run(t.Context()) }()
+	a, err := Ask(t.Context(), r, 21)
+	is.NoErr(err)
+	is.Equal(a, 42)
+	r.Close()
+	is.NoErr(<-done)
+	_, err = Ask(t.Context(), r, 1)
+	is.True(errors.Is(err, ErrClosed))
+}
+
+func benchmarkHandover(b *testing.B, lock bool) {
+	r := New[Call[int, int]](1)
+	d := Duty[Call[int, int]]{Ring: r, Handle: func(_ time.Time, c Call[int, int]) { c.Reply(c.Query) }}
+	go func() {
+		if lock {
+			runtime.LockOSThread()
+		}
+		_ = d.Run(b.Context())
+	}()
+	for b.Loop() {
+		if _, err := Ask(b.Context(), r, 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkHandover measures a question to a duty and its answer.
+func BenchmarkHandover(b *testing.B) { benchmarkHandover(b, false) }
+
+// BenchmarkHandoverLocked measures the same with the duty locked to a thread of
+// the operating system.
+func BenchmarkHandoverLocked(b *testing.B) { benchmarkHandover(b, true) }
--- /dev/null
+++ b/lib/service/front/front.go
@@ -0,0 +1,166 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/gate"
+	"cassiarack.example/lib/service/handoff"
+)
+
+const (
+	tracerName = "cassiarack/front"
+	// maxHeader bounds the header of a request, in bytes.
+	maxHeader = 64 << 10
+	// headerTimeout bounds the time that a caller takes to send a header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections without a request.
+	idleTimeout = 2 * time.Minute
+)
+
+// Headers of requests and answers.
+const (
+	HeaderOutcome      = "Cassiarack-Outcome"
+	HeaderInstance     = "Cassiarack-Instance"
+	HeaderNode         = "Cassiarack-Node"
+	HeaderOrganisation = "Cassiarack-Organisation"
+	HeaderTimeout      = "Cassiarack-Timeout"
+	HeaderKey          = "Idempotency-Key"
+)
+
+// Service serves callers.
+type Service struct {
+	// Listener accepts the connections of callers.
+	Listener net.Listener
+	// VM is the name of the node's VM.
+	VM string
+	// Timeout is the deadline of requests that state none.
+	Timeout time.Duration
+	// Log receives failures of the server.
+	Log *log.Logger
+
+	handoff *handoff.Service
+	server  *http.Server
+}
+
+// Bind implements kernel.Service.
+func (s *Service) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.handoff, err = kernel.Find[*handoff.Service](dir, service.Handoff); err != nil {
+		return err
+	}
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.NewRoute().HandlerFunc(s.serve)
+	s.server = &http.Server{
+		Handler:           r,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          s.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	return nil
+}
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		if err := s.server.Close(); err != nil {
+			s.Log.Debug("Server closed.", "err", err)
+		}
+	}()
+	err := s.server.Serve(s.Listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	<-stopped
+	return nil
+}
+
+// Drain implements kernel.Drainer: it accepts no more connections and returns
+// when all requests are answered.
+func (s *Service) Drain(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	return nil
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "request")
+	defer span.End()
+	span.SetAttributes(attribute.String("method", r.Method), attribute.String("path", r.URL.Path))
+	w.Header().Set(HeaderNode, s.VM)
+	req, failure := s.request(r, time.Now())
+	if failure != nil {
+		writeFailure(w, failure)
+		return
+	}
+	if r.Body != nil && r.Body != http.NoBody {
+		up := newUpload(w, r)
+		defer up.stop()
+		req.Body = up.open
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	answer, failure := s.handoff.Do(ctx, req)
+	if failure != nil {
+		writeFailure(w, failure)
+		return
+	}
+	writeAnswer(ctx, w, answer)
+}
+
+// request converts the HTTP request.
+func (s *Service) request(r *http.Request, now time.Time) (*request.Request, *request.Failure) {
+	timeout := s.Timeout
+	if h := r.Header.Get(HeaderTimeout); h != "" {
+		d, err := time.ParseDuration(h)
+		if err != nil || d <= 0 {
+			return nil, malformed(fmt.Sprintf("%s: found %q; allowed: a positive duration such as 1.5s", HeaderTimeout, h))
+		}
+		timeout = d
+	}
+	if r.Header.Get("Upgrade") != "" {
+		return nil, malformed("Upgrade is not supported")
+	}
+	if r.Method == http.MethodConnect {
+		return nil, malformed("CONNECT is not supported")
+	}
+	length := r.ContentLength
+	if r.Body == nil || r.Body == http.NoBody {
+		length = 0
+	}
+	var trailers []string
+	for n := range r.Trailer {
+		trailers = append(trailers, n)
+	}
+	return &request.Request{
+		Head: request.Head{Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host,
+			Fields: gate.EndToEnd(r.Header), ContentLength: length, TrailerNames: trailers},
+		Path:         r.URL.Path,
+		Organisation: r.Header.Get(HeaderOrganisation),
+		Key:          r.Header.Get(HeaderKey),
+		Deadline:     now.Add(timeout),
+	}, nil
+}
+
+func malformed(detail string) *request.Failure {
+	return &request.Failure{Outcome: request.NotRun, Reason: request.ReasonMalformed, Detail: detail}
+}
--- /dev/null
+++ b/lib/service/gate/backend.go
@@ -0,0 +1,177 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cassiarack.example/lib/request"
+)
+
+// Limits of connections to backend servers.
+const (
+	backendDialTimeout = time.Second
+	backendIdle        = 30 * time.Second
+	maxAnswerHeader    = 1 << 20
+)
+
+// backends holds one HTTP transport for each instance.
+type backends struct {
+	mu         sync.Mutex
+	transports map[string]*http.Transport
+}
+
+func newBackends() *backends {
+	return &backends{transports: make(map[string]*http.Transport)}
+}
+
+func (b *backends) transport(instance string, connections int) *http.Transport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, ok := b.transports[instance]
+	if !ok {
+		t = &http.Transport{
+			DialContext:            (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
+			MaxConnsPerHost:        connections,
+			MaxIdleConnsPerHost:    connections,
+			IdleConnTimeout:        backendIdle,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxAnswerHeader,
+		}
+		b.transports[instance] = t
+	}
+	return t
+}
+
+func (b *backends) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.transports {
+		t.CloseIdleConnections()
+	}
+}
+
+// progress tells how far a call of a backend server got.
+type progress struct {
+	wrote atomic.Bool
+}
+
+// trace returns hooks that record whether any byte may have been sent.
+func (p *progress) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { p.wrote.Store(true) }}
+}
+
+// newCall builds the HTTP request for a backend server.
+func newCall(ctx context.Context, addr netip.AddrPort, h request.Head, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, h.Method, "http://"+addr.String()+h.Target, body)
+	if err != nil {
+		return nil, fmt.Errorf("build call: %w", err)
+	}
+	req.Host = h.Host
+	req.ContentLength = h.ContentLength
+	if body == nil {
+		req.ContentLength = 0
+	}
+	for _, f := range h.Fields {
+		req.Header[headerName(f.Name)] = append(req.Header[headerName(f.Name)], f.Value)
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding a User-Agent of its own.
+		req.Header["User-Agent"] = []string{""}
+	}
+	if len(h.TrailerNames) > 0 {
+		req.Trailer = make(http.Header)
+		for _, n := range h.TrailerNames {
+			req.Trailer[http.CanonicalHeaderKey(n)] = nil
+		}
+	}
+	return req, nil
+}
+
+// headerName returns the name under which a field is sent. net/http repeats a
+// request by itself on a lost connection when it finds an idempotency key under
+// its canonical name, so the key is sent in lower case, which means the same to
+// the server.
+func headerName(name string) string {
+	canonical := http.CanonicalHeaderKey(name)
+	if canonical == "Idempotency-Key" || canonical == "X-Idempotency-Key" {
+		return strings.ToLower(canonical)
+	}
+	return canonical
+}
+
+var errCutBody = errors.New("body of the request was cut")
+
+// pieceReader reads the pieces of a request body as a stream.
+type pieceReader struct {
+	ctx     context.Context
+	pieces  *request.Pieces
+	rest    []byte
+	trailer http.Header
+	done    bool
+}
+
+// Read implements io.Reader. A body that was cut ends with an error, so that
+// the backend server never sees a cut body as whole.
+func (r *pieceReader) Read(p []byte) (int, error) {
+	for len(r.rest) == 0 {
+		if r.done {
+			return 0, io.EOF
+		}
+		piece, err := r.pieces.Take(r.ctx)
+		if err != nil {
+			return 0, fmt.Errorf("read body: %w", err)
+		}
+		if piece.Err != nil {
+			return 0, errCutBody
+		}
+		r.rest, r.done = piece.Data, piece.End
+		if piece.End {
+			for _, f := range piece.Trailers {
+				r.trailer.Add(f.Name, f.Value)
+			}
+		}
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (r *pieceReader) Close() error { return nil }
+
+// hopHeaders are the headers that concern one connection only.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Proxy-Connection": true,
+}
+
+// EndToEnd returns the fields of a header that concern more than one
+// connection.
+func EndToEnd(h http.Header) []request.Field {
+	perHop := make(map[string]bool)
+	for _, line := range h.Values("Connection") {
+		for _, n := range strings.Split(line, ",") {
+			perHop[http.CanonicalHeaderKey(strings.TrimSpace(n))] = true
+		}
+	}
+	var out []request.Field
+	for name, values := range h {
+		if hopHeaders[name] || perHop[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, request.Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lib/service/gate/command.go
@@ -0,0 +1,205 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/handover"
+	"cassiarack.example/lib/decision/slot"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/wire"
+)
+
+// command is a command to the duty.
+type command interface {
+	apply(now time.Time, s *Service)
+}
+
+// admit asks for a slot.
+type admit struct {
+	instance     string
+	attempt      handover.Attempt
+	organisation string
+	expected     time.Duration
+	remaining    time.Duration
+	patience     time.Duration
+	commitNow    bool
+}
+
+// admitted answers an admit.
+type admitted struct {
+	instance   *config.Instance
+	grant      handover.Grant
+	refusal    slot.Refusal
+	reason     request.Reason
+	retryAfter time.Duration
+	err        error
+	load       *wire.Load
+}
+
+// admission is an admit that waits for its slot or its commit.
+type admission struct {
+	call    ring.Call[admit, admitted]
+	expired bool
+}
+
+func (a *admission) apply(now time.Time, s *Service) {
+	q := a.call.Query
+	d := s.desk(q.instance)
+	if d == nil {
+		a.call.Reply(admitted{reason: request.ReasonInstance})
+		return
+	}
+	if err := s.grants.Open(now, q.attempt); err != nil {
+		a.call.Reply(admitted{err: err, load: d.load()})
+		return
+	}
+	d.waiting[q.attempt] = a
+	s.settleQueue(now, d, d.slots.Admit(now, slot.Request[handover.Attempt]{
+		Item:         q.attempt,
+		Organisation: q.organisation,
+		Expected:     q.expected,
+		Deadline:     now.Add(q.remaining),
+		Until:        now.Add(q.patience),
+	}))
+}
+
+// commit starts the work of a grant.
+type commit struct {
+	instance string
+	attempt  handover.Attempt
+	call     ring.Call[handover.Grant, error]
+}
+
+func (c commit) apply(now time.Time, s *Service) {
+	err := s.grants.Commit(now, c.call.Query)
+	if err == nil {
+		if d := s.desks[c.instance]; d != nil {
+			delete(d.waiting, c.attempt)
+		}
+	}
+	c.call.Reply(err)
+}
+
+// abandon ends an attempt whose entry went away before the commit.
+type abandon struct {
+	instance string
+	attempt  handover.Attempt
+}
+
+func (c abandon) apply(now time.Time, s *Service) {
+	d := s.desks[c.instance]
+	if d == nil {
+		return
+	}
+	adm, ok := d.waiting[c.attempt]
+	if !ok || !s.grants.Void(now, c.attempt) {
+		return
+	}
+	delete(d.waiting, c.attempt)
+	if d.slots.Withdraw(c.attempt) {
+		adm.call.Reply(admitted{reason: request.ReasonCancelled})
+		return
+	}
+	s.settleQueue(now, d, d.slots.Release(now))
+}
+
+// finish ends committed work and frees its slot.
+type finish struct {
+	instance string
+	grant    handover.Grant
+	call     ring.Call[struct{}, *wire.Load]
+}
+
+func (c finish) apply(now time.Time, s *Service) {
+	s.grants.Finish(now, c.grant)
+	d := s.desks[c.instance]
+	s.settleQueue(now, d, d.slots.Release(now))
+	c.call.Reply(d.load())
+}
+
+// settle voids an attempt or tells that it was started.
+type settle struct {
+	instance string
+	attempt  handover.Attempt
+	call     ring.Call[handover.Grant, handover.Settlement]
+}
+
+func (c settle) apply(now time.Time, s *Service) {
+	d := s.desks[c.instance]
+	var adm *admission
+	if d != nil {
+		adm = d.waiting[c.attempt]
+	}
+	result := s.grants.Settle(now, c.attempt, c.call.Query)
+	if adm != nil && result == handover.SettledNotRun {
+		delete(d.waiting, c.attempt)
+		if !d.slots.Withdraw(c.attempt) {
+			s.settleQueue(now, d, d.slots.Release(now))
+		}
+		adm.call.Reply(admitted{reason: request.ReasonGrant})
+	}
+	c.call.Reply(result)
+}
+
+// leave refuses new work at all instances.
+type leave struct{}
+
+func (leave) apply(now time.Time, s *Service) {
+	for _, i := range s.instances() {
+		d := s.desk(i.Name)
+		d.slots.Leaving = true
+		s.settleQueue(now, d, d.slots.Tick(now))
+	}
+}
+
+func (s *Service) instances() []*config.Instance {
+	c := s.config.Current()
+	if c == nil || c.VMs[s.VM] == nil {
+		return nil
+	}
+	return c.VMs[s.VM].Instances
+}
+
+// inFlight counts the requests in flight for a graceful stop.
+type inFlight struct {
+	mu   sync.Mutex
+	n    int
+	zero chan struct{}
+}
+
+func (f *inFlight) add(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n += n
+	if f.n == 0 && f.zero != nil {
+		close(f.zero)
+		f.zero = nil
+	}
+}
+
+// wait returns when no request is in flight, or an error that tells how many
+// are left when ctx is done.
+func (f *inFlight) wait(ctx context.Context) error {
+	f.mu.Lock()
+	if f.n == 0 {
+		f.mu.Unlock()
+		return nil
+	}
+	if f.zero == nil {
+		f.zero = make(chan struct{})
+	}
+	zero := f.zero
+	f.mu.Unlock()
+	select {
+	case <-zero:
+		return nil
+	case <-ctx.Done():
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return &leftError{left: f.n}
+	}
+}
--- /dev/null
+++ b/lib/service/gate/exchange.go
@@ -0,0 +1,348 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"cassiarack.example/lib/decision/handover"
+	"cassiarack.example/lib/decision/slot"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/wire"
+)
+
+const tracerName = "cassiarack/gate"
+
+// exchange is one request at the gate.
+type exchange struct {
+	s       *Service
+	stream  wire.DRPCHandover_ExchangeStream
+	ctx     context.Context
+	cancel  context.CancelFunc
+	reserve *wire.Reserve
+	attempt handover.Attempt
+	ups     *ring.Ring[*wire.Up]
+}
+
+// Exchange implements the drpc call.
+func (s *Service) Exchange(stream wire.DRPCHandover_ExchangeStream) error {
+	s.inFlight.add(1)
+	defer s.inFlight.add(-1)
+	up, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	r := up.GetReserve()
+	if r == nil || len(r.GetAttempt()) != len(handover.Attempt{}) || r.GetCommitNow() != (r.GetHead() != nil) {
+		return stream.Send(refused(request.ReasonMalformed, "first message is not a valid reserve", 0, nil))
+	}
+	ctx, span := startSpan(stream.Context(), r)
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetRemaining()))
+	defer cancel()
+	x := &exchange{s: s, stream: stream, ctx: ctx, cancel: cancel, reserve: r,
+		ups: ring.New[*wire.Up](request.PiecesInFlight)}
+	copy(x.attempt[:], r.GetAttempt())
+	return x.run()
+}
+
+func startSpan(ctx context.Context, r *wire.Reserve) (context.Context, trace.Span) {
+	carrier := propagation.MapCarrier{"traceparent": r.GetTraceParent()}
+	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
+	return otel.Tracer(tracerName).Start(ctx, "gate",
+		trace.WithAttributes(attribute.String("instance", r.GetInstance())))
+}
+
+func (x *exchange) run() error {
+	adm := x.admit()
+	if reason := adm.failure(); reason != "" {
+		x.s.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("refused").Inc(1)
+		return x.stream.Send(refused(reason, "no slot", adm.retryAfter, adm.load))
+	}
+	err := x.stream.Send(&wire.Down{Load: adm.load, Kind: &wire.Down_Reserved{Reserved: &wire.Reserved{
+		Grant: &wire.Grant{Incarnation: adm.grant.Incarnation, Number: adm.grant.Number}, Hold: int64(hold)}}})
+	if err != nil && !x.reserve.GetCommitNow() {
+		x.abandon()
+		return err
+	}
+	go x.receive()
+	head := x.reserve.GetHead()
+	if !x.reserve.GetCommitNow() {
+		if head, err = x.awaitCommit(adm.grant); err != nil || head == nil {
+			return err
+		}
+	}
+	return x.serve(adm, wire.FromHead(head))
+}
+
+// admit waits for a slot.
+func (x *exchange) admit() admitted {
+	call := ring.NewCall[admit, admitted](admit{
+		instance:     x.reserve.GetInstance(),
+		attempt:      x.attempt,
+		organisation: x.reserve.GetOrganisation(),
+		expected:     time.Duration(x.reserve.GetExpected()),
+		remaining:    time.Duration(x.reserve.GetRemaining()),
+		patience:     time.Duration(x.reserve.GetPatience()),
+		commitNow:    x.reserve.GetCommitNow(),
+	})
+	if err := x.s.commands.Offer(&admission{call: call}); err != nil {
+		return admitted{reason: request.ReasonOverload}
+	}
+	a, err := call.Wait(x.ctx)
+	if err != nil {
+		x.abandon()
+		return admitted{reason: request.ReasonCancelled}
+	}
+	return a
+}
+
+func (x *exchange) abandon() {
+	cmd := abandon{instance: x.reserve.GetInstance(), attempt: x.attempt}
+	if err := x.s.commands.Put(context.WithoutCancel(x.ctx), cmd); err != nil {
+		x.s.Log.Debug("Abandon not recorded.", "err", err)
+	}
+}
+
+var refusalReasons = map[slot.Refusal]request.Reason{
+	slot.RefusedFull:     request.ReasonFull,
+	slot.RefusedDeadline: request.ReasonDeadline,
+	slot.RefusedWait:     request.ReasonQueueWait,
+	slot.RefusedLeaving:  request.ReasonLeaving,
+}
+
+// failure returns why the request was not admitted, or the empty reason.
+func (a admitted) failure() request.Reason {
+	switch {
+	case a.reason != "":
+		return a.reason
+	case a.refusal != "":
+		return refusalReasons[a.refusal]
+	case a.err != nil:
+		return request.ReasonGrant
+	}
+	return ""
+}
+
+func refused(r request.Reason, detail string, after time.Duration, l *wire.Load) *wire.Down {
+	return &wire.Down{Load: l, Kind: &wire.Down_Refused{Refused: &wire.Refused{
+		Reason: wire.ToReason(r), Detail: detail, RetryAfter: int64(after)}}}
+}
+
+// receive is the duty that receives the entry's messages. It cancels the
+// exchange when the entry goes away.
+func (x *exchange) receive() {
+	for {
+		up, err := x.stream.Recv()
+		if err != nil {
+			x.ups.Close()
+			if !errors.Is(err, io.EOF) {
+				x.cancel()
+			}
+			return
+		}
+		if err := x.ups.Put(x.ctx, up); err != nil {
+			return
+		}
+	}
+}
+
+// awaitCommit waits for the commit of a grant. It returns a nil head when the
+// commit was refused or did not come.
+func (x *exchange) awaitCommit(g handover.Grant) (*wire.RequestHead, error) {
+	ctx, cancel := context.WithTimeout(x.ctx, hold)
+	defer cancel()
+	up, err := x.ups.Take(ctx)
+	if err != nil {
+		x.abandon()
+		return nil, x.stream.Send(refused(request.ReasonGrant, "no commit in time", 0, nil))
+	}
+	c := up.GetCommit()
+	if c == nil || c.GetHead() == nil {
+		x.abandon()
+		return nil, x.stream.Send(refused(request.ReasonMalformed, "second message is not a commit", 0, nil))
+	}
+	named := handover.Grant{Incarnation: c.GetGrant().GetIncarnation(), Number: c.GetGrant().GetNumber()}
+	if named != g {
+		x.abandon()
+		return nil, x.stream.Send(refused(request.ReasonMalformed, "commit names another grant", 0, nil))
+	}
+	call := ring.NewCall[handover.Grant, error](g)
+	if err := x.s.commands.Put(x.ctx, commit{instance: x.reserve.GetInstance(), attempt: x.attempt, call: call}); err != nil {
+		return nil, x.stream.Send(refused(request.ReasonOverload, "gate is stopping", 0, nil))
+	}
+	// The duty always answers, and the slot must be given back if it committed.
+	if err, _ := call.Wait(context.WithoutCancel(x.ctx)); err != nil {
+		x.s.Log.Warn("Refused commit.", "instance", x.reserve.GetInstance(), "err", err)
+		return nil, x.stream.Send(refused(request.ReasonGrant, err.Error(), 0, nil))
+	}
+	return c.GetHead(), nil
+}
+
+// serve calls the backend server. The work is committed.
+func (x *exchange) serve(adm admitted, head request.Head) error {
+	started := time.Now()
+	ctx, span := otel.Tracer(tracerName).Start(x.ctx, "backend server")
+	last := x.call(ctx, adm, head)
+	span.End()
+	load := x.finish(adm)
+	if load != nil {
+		load.ServiceTime = int64(time.Since(started))
+	}
+	last.Load = load
+	x.s.scope.Timer("service_time").Record(time.Since(started))
+	return x.stream.Send(last)
+}
+
+func (x *exchange) finish(adm admitted) *wire.Load {
+	call := ring.NewCall[struct{}, *wire.Load](struct{}{})
+	cmd := finish{instance: x.reserve.GetInstance(), grant: adm.grant, call: call}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), time.Second)
+	defer cancel()
+	if err := x.s.commands.Put(ctx, cmd); err != nil {
+		x.s.Log.Error("Slot not given back.", "instance", x.reserve.GetInstance(), "err", err)
+		return nil
+	}
+	load, err := call.Wait(ctx)
+	if err != nil {
+		return nil
+	}
+	return load
+}
+
+// call performs the HTTP call and returns the last message to the entry.
+func (x *exchange) call(ctx context.Context, adm admitted, head request.Head) *wire.Down {
+	var p progress
+	body, trailer := x.body(head)
+	inst := adm.instance
+	req, err := newCall(httptrace.WithClientTrace(ctx, p.trace()), inst.Address, head, body)
+	if err != nil {
+		return failed(request.ReasonMalformed, err, true)
+	}
+	if trailer != nil && req.Trailer != nil {
+		trailer.trailer = req.Trailer
+	}
+	res, err := x.s.backends.transport(inst.Name, inst.Service.Connections).RoundTrip(req)
+	if err != nil {
+		return x.lost(err, !p.wrote.Load())
+	}
+	defer res.Body.Close()
+	down := &wire.Down{Kind: &wire.Down_Head{Head: &wire.ResponseHead{
+		Status:        uint32(res.StatusCode),
+		Fields:        wire.ToFields(EndToEnd(res.Header)),
+		ContentLength: res.ContentLength,
+		TrailerNames:  names(res.Trailer),
+	}}}
+	if err := x.stream.Send(down); err != nil {
+		return failed(request.ReasonCancelled, err, false)
+	}
+	return x.answerBody(res)
+}
+
+func names(h http.Header) []string {
+	var out []string
+	for n := range h {
+		out = append(out, n)
+	}
+	return out
+}
+
+// lost tells why a call has no answer.
+func (x *exchange) lost(err error, notRun bool) *wire.Down {
+	reason := request.ReasonBackendLost
+	switch {
+	case errors.Is(err, errCutBody):
+		reason = request.ReasonBody
+	case x.ctx.Err() != nil:
+		reason = request.ReasonCancelled
+	case notRun:
+		reason = request.ReasonConnect
+	}
+	return failed(reason, err, notRun)
+}
+
+func failed(r request.Reason, err error, notRun bool) *wire.Down {
+	return &wire.Down{Kind: &wire.Down_Failed{Failed: &wire.Failed{
+		Reason: wire.ToReason(r), Detail: err.Error(), NotRun: notRun}}}
+}
+
+// body returns the reader of the request's body, or nil.
+func (x *exchange) body(head request.Head) (io.Reader, *pieceReader) {
+	if head.ContentLength == 0 {
+		return nil, nil
+	}
+	pieces := ring.New[request.Piece](1)
+	r := &pieceReader{ctx: x.ctx, pieces: pieces, trailer: make(http.Header)}
+	go x.feed(pieces)
+	return r, r
+}
+
+// feed is the duty that turns the entry's messages into pieces of the body.
+func (x *exchange) feed(pieces *request.Pieces) {
+	for {
+		up, err := x.ups.Take(x.ctx)
+		piece := request.Piece{Err: err}
+		switch {
+		case err != nil:
+		case up.GetChunk() != nil:
+			piece.Data = up.GetChunk().GetData()
+		case up.GetEnd() != nil:
+			piece.End, piece.Trailers = true, wire.FromFields(up.GetEnd().GetTrailers())
+		default:
+			piece.Err = errCutBody
+		}
+		if err := pieces.Put(x.ctx, piece); err != nil || piece.End || piece.Err != nil {
+			return
+		}
+	}
+}
+
+// answerBody streams the body of an answer and returns the last message.
+func (x *exchange) answerBody(res *http.Response) *wire.Down {
+	buf := make([]byte, request.PieceSize)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 {
+			chunk := &wire.Down{Kind: &wire.Down_Chunk{Chunk: &wire.Chunk{Data: buf[:n]}}}
+			if err := x.stream.Send(chunk); err != nil {
+				return failed(request.ReasonCancelled, err, false)
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return &wire.Down{Kind: &wire.Down_End{End: &wire.End{Trailers: wire.ToFields(EndToEnd(res.Trailer))}}}
+		case err != nil:
+			return x.lost(err, false)
+		}
+	}
+}
+
+// Settle implements the drpc call.
+func (s *Service) Settle(ctx context.Context, in *wire.SettleRequest) (*wire.SettleReply, error) {
+	g := handover.Grant{Incarnation: in.GetGrant().GetIncarnation(), Number: in.GetGrant().GetNumber()}
+	cmd := settle{instance: in.GetInstance(), call: ring.NewCall[handover.Grant, handover.Settlement](g)}
+	copy(cmd.attempt[:], in.GetAttempt())
+	if err := s.commands.Put(ctx, cmd); err != nil {
+		return nil, err
+	}
+	result, err := cmd.call.Wait(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.SettleReply{Settlement: settlements[result]}, nil
+}
+
+var settlements = map[handover.Settlement]wire.Settlement{
+	handover.SettledUnknown: wire.Settlement_SETTLEMENT_UNKNOWN,
+	handover.SettledNotRun:  wire.Settlement_SETTLEMENT_NOT_RUN,
+	handover.SettledStarted: wire.Settlement_SETTLEMENT_STARTED,
+}
--- /dev/null
+++ b/lib/service/gate/gate.go
@@ -0,0 +1,182 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/handover"
+	"cassiarack.example/lib/decision/slot"
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/service"
+	configservice "cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/wire"
+)
+
+const (
+	// ringSize bounds the commands that wait for the duty.
+	ringSize = 4096
+	// tick is how often waits and holds are checked for their end.
+	tick = 10 * time.Millisecond
+	// hold is how long a grant may be committed.
+	hold = time.Second
+	// memory is how long the gate remembers an attempt. It exceeds the longest
+	// time that a message between nodes can be on its way, as the connections
+	// between nodes are given up after much less.
+	memory = 2 * time.Minute
+)
+
+// Service is the gate of a VM.
+type Service struct {
+	// VM is the name of the node's VM.
+	VM string
+	// Incarnation tells this run of the gate from earlier ones.
+	Incarnation uint64
+	// Log receives refusals of commits and lost backend servers.
+	Log *log.Logger
+
+	commands *ring.Ring[command]
+	config   *configservice.Service
+	scope    tally.Scope
+	grants   handover.Gate
+	desks    map[string]*desk
+	backends *backends
+	inFlight inFlight
+}
+
+// desk is the state of one instance, owned by the duty.
+type desk struct {
+	instance *config.Instance
+	slots    slot.Gate[handover.Attempt]
+	waiting  map[handover.Attempt]*admission
+}
+
+// Bind implements kernel.Service.
+func (s *Service) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.config, err = kernel.Find[*configservice.Service](dir, service.Config); err != nil {
+		return err
+	}
+	p, err := kernel.Find[*peers.Service](dir, service.Peers)
+	if err != nil {
+		return err
+	}
+	m, err := kernel.Find[*metrics.Service](dir, service.Metrics)
+	if err != nil {
+		return err
+	}
+	s.scope = m.Scope().SubScope("gate")
+	s.commands = ring.New[command](ringSize)
+	s.grants = handover.Gate{Incarnation: s.Incarnation, Hold: hold, Memory: memory}
+	s.desks = make(map[string]*desk)
+	s.backends = newBackends()
+	return wire.DRPCRegisterHandover(p.Mux(), s)
+}
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	defer s.backends.close()
+	d := ring.Duty[command]{
+		Ring:     s.commands,
+		Interval: tick,
+		Handle:   func(now time.Time, c command) { c.apply(now, s) },
+		Tick:     s.tick,
+	}
+	return d.Run(ctx)
+}
+
+// Drain implements kernel.Drainer: new work is refused, work in flight ends.
+func (s *Service) Drain(ctx context.Context) error {
+	if err := s.commands.Put(ctx, leave{}); err != nil {
+		return err
+	}
+	return s.inFlight.wait(ctx)
+}
+
+// desk returns the state of an instance of this VM, or nil.
+func (s *Service) desk(name string) *desk {
+	c := s.config.Current()
+	if c == nil {
+		return nil
+	}
+	i, ok := c.Instances[name]
+	if !ok || i.VM.Name != s.VM {
+		return nil
+	}
+	d, ok := s.desks[name]
+	if !ok {
+		d = &desk{waiting: make(map[handover.Attempt]*admission)}
+		s.desks[name] = d
+	}
+	d.instance = i
+	d.slots.Slots = i.Service.Slots
+	d.slots.Leaving = d.slots.Leaving || i.Leaving
+	return d
+}
+
+func (s *Service) tick(now time.Time) {
+	for _, a := range s.grants.Expire(now) {
+		s.freeExpired(now, a)
+	}
+	for name, d := range s.desks {
+		s.desk(name)
+		s.settleQueue(now, d, d.slots.Tick(now))
+	}
+}
+
+// freeExpired gives back the slot of a grant that was not committed.
+func (s *Service) freeExpired(now time.Time, a handover.Attempt) {
+	for _, d := range s.desks {
+		if adm, ok := d.waiting[a]; ok {
+			delete(d.waiting, a)
+			adm.expired = true
+			s.settleQueue(now, d, d.slots.Release(now))
+			return
+		}
+	}
+}
+
+// settleQueue answers the admissions that a decision was made about.
+func (s *Service) settleQueue(now time.Time, d *desk, ds []slot.Decision[handover.Attempt]) {
+	for len(ds) > 0 {
+		next := ds[0]
+		ds = ds[1:]
+		adm, ok := d.waiting[next.Item]
+		if !ok {
+			continue
+		}
+		if !next.Granted {
+			s.grants.Void(now, next.Item)
+			delete(d.waiting, next.Item)
+			adm.call.Reply(admitted{refusal: next.Refusal, retryAfter: next.RetryAfter, load: d.load()})
+			continue
+		}
+		grant, err := s.grants.Reserve(now, next.Item)
+		if err != nil {
+			delete(d.waiting, next.Item)
+			adm.call.Reply(admitted{err: err, load: d.load()})
+			ds = append(ds, d.slots.Release(now)...)
+			continue
+		}
+		if adm.call.Query.commitNow {
+			err = s.grants.Commit(now, grant)
+			delete(d.waiting, next.Item)
+		}
+		adm.call.Reply(admitted{instance: d.instance, grant: grant, err: err, load: d.load()})
+	}
+}
+
+func (d *desk) load() *wire.Load {
+	return &wire.Load{
+		Slots:   uint32(d.slots.Slots),
+		Running: uint32(d.slots.Running()),
+		Waiting: uint32(d.slots.Waiting()),
+		Leaving: d.slots.Leaving,
+	}
+}
--- /dev/null
+++ b/lib/service/handoff/attempt.go
@@ -0,0 +1,318 @@
+package handoff
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/route"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/service/router"
+	"cassiarack.example/lib/wire"
+)
+
+const tracerName = "cassiarack/handoff"
+
+// attempt is one try to hand a request to a gate.
+type attempt struct {
+	s      *Service
+	req    *request.Request
+	route  route.Route
+	inst   *config.Instance
+	body   *replay
+	id     [16]byte
+	ctx    context.Context
+	cancel context.CancelFunc
+	span   trace.Span
+	stream wire.DRPCHandover_ExchangeClient
+	downs  *ring.Ring[*wire.Down]
+	load   *router.Load
+	// sender is closed when the goroutine that sends the body ended.
+	sender chan struct{}
+}
+
+// attempt hands the request to the gate of inst. The router gets its report
+// when the attempt ends.
+func (s *Service) attempt(ctx context.Context, req *request.Request, rt route.Route, inst *config.Instance,
+	body *replay) (*request.Answer, *request.Failure) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt",
+		trace.WithAttributes(attribute.String("instance", inst.Name)))
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	a := &attempt{s: s, req: req, route: rt, inst: inst, body: body, ctx: ctx, cancel: cancel, span: span,
+		downs: ring.New[*wire.Down](request.PiecesInFlight)}
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(a.id[:])
+	answer, failure := a.run()
+	if failure != nil {
+		a.close()
+	}
+	return answer, failure
+}
+
+// close ends the attempt and reports it.
+func (a *attempt) close() {
+	a.cancel()
+	if a.sender != nil {
+		// The body must not be read by two attempts at once.
+		<-a.sender
+	}
+	a.span.End()
+	report := router.Report{Instance: a.inst.Name, Load: a.load}
+	if err := a.s.router.Report(context.WithoutCancel(a.ctx), report); err != nil {
+		a.s.Log.Debug("Report not recorded.", "err", err)
+	}
+}
+
+func (a *attempt) run() (*request.Answer, *request.Failure) {
+	if f := a.open(); f != nil {
+		return nil, f
+	}
+	grant, f := a.awaitReserved()
+	if f != nil {
+		return nil, f
+	}
+	if !a.route.Idempotent {
+		commit := &wire.Up{Kind: &wire.Up_Commit{Commit: &wire.Commit{Grant: grant, Head: wire.ToHead(a.req.Head)}}}
+		if err := a.stream.Send(commit); err != nil {
+			return nil, a.settle(grant, err)
+		}
+	}
+	a.sendBody()
+	return a.awaitHead(grant)
+}
+
+// open starts the exchange and asks for a slot.
+func (a *attempt) open() *request.Failure {
+	client := wire.NewDRPCHandoverClient(a.s.peers.Conn(a.ctx, a.inst.VM.Node))
+	stream, err := client.Exchange(a.ctx)
+	if err != nil {
+		return a.unreachable(err)
+	}
+	a.stream = stream
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(a.ctx, carrier)
+	reserve := &wire.Reserve{
+		Instance:     a.inst.Name,
+		Attempt:      a.id[:],
+		Organisation: a.req.Organisation,
+		Route:        a.route.Name(a.req.Method),
+		Remaining:    int64(time.Until(a.req.Deadline)),
+		Patience:     int64(patience),
+		Idempotent:   a.route.Idempotent,
+		CommitNow:    a.route.Idempotent,
+		TraceParent:  carrier["traceparent"],
+	}
+	if a.route.Idempotent {
+		reserve.Head = wire.ToHead(a.req.Head)
+	}
+	if err := stream.Send(&wire.Up{Kind: &wire.Up_Reserve{Reserve: reserve}}); err != nil {
+		return a.unreachable(err)
+	}
+	go a.receive()
+	return nil
+}
+
+// unreachable is the failure of an attempt that got no grant. Non-idempotent
+// work cannot have run then; idempotent work may have.
+func (a *attempt) unreachable(err error) *request.Failure {
+	if a.ctx.Err() != nil {
+		return a.ended(request.NotRun)
+	}
+	return &request.Failure{Outcome: a.withoutGrant(), Reason: request.ReasonUnreachable,
+		Detail: fmt.Sprintf("node beside %s: %v", a.inst.Name, err)}
+}
+
+// withoutGrant is the outcome of an attempt whose reserve was not answered.
+func (a *attempt) withoutGrant() request.Outcome {
+	if a.route.Idempotent && a.stream != nil {
+		return request.Unknown
+	}
+	return request.NotRun
+}
+
+// ended is the failure of an attempt whose caller went away or whose deadline
+// passed.
+func (a *attempt) ended(o request.Outcome) *request.Failure {
+	if errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+		return &request.Failure{Outcome: o, Reason: request.ReasonDeadline, Detail: "the deadline passed"}
+	}
+	return &request.Failure{Outcome: o, Reason: request.ReasonCancelled, Detail: "the caller went away"}
+}
+
+// receive is the duty that receives the gate's messages.
+func (a *attempt) receive() {
+	defer a.downs.Close()
+	for {
+		down, err := a.stream.Recv()
+		if err != nil {
+			return
+		}
+		if err := a.downs.Put(a.ctx, down); err != nil {
+			return
+		}
+	}
+}
+
+// awaitReserved waits for the grant.
+func (a *attempt) awaitReserved() (*wire.Grant, *request.Failure) {
+	ctx, cancel := context.WithTimeout(a.ctx, patience+reserveTimeout)
+	defer cancel()
+	down, err := a.downs.Take(ctx)
+	switch {
+	case a.ctx.Err() != nil:
+		return nil, a.ended(a.withoutGrant())
+	case err != nil:
+		return nil, a.unreachable(err)
+	}
+	a.note(down)
+	if r := down.GetRefused(); r != nil {
+		return nil, refusal(r)
+	}
+	if down.GetReserved() == nil {
+		return nil, a.unreachable(errors.New("unexpected message"))
+	}
+	return down.GetReserved().GetGrant(), nil
+}
+
+func refusal(r *wire.Refused) *request.Failure {
+	return &request.Failure{Outcome: request.NotRun, Reason: wire.FromReason(r.GetReason()),
+		Detail: r.GetDetail(), RetryAfter: time.Duration(r.GetRetryAfter())}
+}
+
+func (a *attempt) note(d *wire.Down) {
+	if l := d.GetLoad(); l != nil {
+		a.load = &router.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting())}
+	}
+}
+
+// sendBody starts the duty that sends the body.
+func (a *attempt) sendBody() {
+	a.sender = make(chan struct{})
+	if a.body.empty() {
+		close(a.sender)
+		return
+	}
+	go func() {
+		defer close(a.sender)
+		for i := 0; ; i++ {
+			p, err := a.body.next(a.ctx, i)
+			if err != nil {
+				return
+			}
+			if !a.sendPiece(p) {
+				return
+			}
+		}
+	}()
+}
+
+// sendPiece sends one piece and reports whether more may follow.
+func (a *attempt) sendPiece(p request.Piece) bool {
+	if p.Err != nil {
+		a.cancel()
+		return false
+	}
+	up := &wire.Up{Kind: &wire.Up_Chunk{Chunk: &wire.Chunk{Data: p.Data}}}
+	if p.End {
+		up = &wire.Up{Kind: &wire.Up_End{End: &wire.End{Trailers: wire.ToFields(p.Trailers)}}}
+	}
+	return a.stream.Send(up) == nil && !p.End
+}
+
+// awaitHead waits for the head of the answer.
+func (a *attempt) awaitHead(grant *wire.Grant) (*request.Answer, *request.Failure) {
+	down, err := a.downs.Take(a.ctx)
+	switch {
+	case a.ctx.Err() != nil:
+		return nil, a.ended(request.Unknown)
+	case err != nil:
+		return nil, a.settle(grant, err)
+	}
+	a.note(down)
+	switch {
+	case down.GetRefused() != nil:
+		return nil, refusal(down.GetRefused())
+	case down.GetFailed() != nil:
+		return nil, failure(down.GetFailed())
+	case down.GetHead() == nil:
+		return nil, a.settle(grant, errors.New("unexpected message"))
+	}
+	h := down.GetHead()
+	answer := &request.Answer{
+		Status:        int(h.GetStatus()),
+		Fields:        wire.FromFields(h.GetFields()),
+		ContentLength: h.GetContentLength(),
+		TrailerNames:  h.GetTrailerNames(),
+		Instance:      a.inst.Name,
+		VM:            a.inst.VM.Name,
+		Pieces:        ring.New[request.Piece](1),
+	}
+	go a.forward(answer.Pieces)
+	return answer, nil
+}
+
+func failure(f *wire.Failed) *request.Failure {
+	o := request.Unknown
+	if f.GetNotRun() {
+		o = request.NotRun
+	}
+	return &request.Failure{Outcome: o, Reason: wire.FromReason(f.GetReason()), Detail: f.GetDetail()}
+}
+
+var errLinkLost = errors.New("link to the gate lost")
+
+// forward is the duty that turns the gate's messages into pieces of the answer.
+func (a *attempt) forward(pieces *request.Pieces) {
+	defer a.close()
+	for {
+		p := a.piece()
+		if err := pieces.Put(a.ctx, p); err != nil || p.End || p.Err != nil {
+			pieces.Close()
+			return
+		}
+	}
+}
+
+func (a *attempt) piece() request.Piece {
+	down, err := a.downs.Take(a.ctx)
+	if err != nil {
+		return request.Piece{Err: fmt.Errorf("answer of %s: %w", a.inst.Name, errLinkLost)}
+	}
+	a.note(down)
+	switch {
+	case down.GetChunk() != nil:
+		return request.Piece{Data: down.GetChunk().GetData()}
+	case down.GetEnd() != nil:
+		return request.Piece{End: true, Trailers: wire.FromFields(down.GetEnd().GetTrailers())}
+	default:
+		return request.Piece{Err: fmt.Errorf("answer of %s: %s", a.inst.Name, down.GetFailed().GetDetail())}
+	}
+}
+
+// settle asks the gate what became of a committed grant whose exchange was
+// lost.
+func (a *attempt) settle(grant *wire.Grant, cause error) *request.Failure {
+	f := &request.Failure{Outcome: request.Unknown, Reason: request.ReasonLinkLost,
+		Detail: fmt.Sprintf("node beside %s: %v", a.inst.Name, cause)}
+	if a.route.Idempotent {
+		return f
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), settleTimeout)
+	defer cancel()
+	client := wire.NewDRPCHandoverClient(a.s.peers.Conn(ctx, a.inst.VM.Node))
+	reply, err := client.Settle(ctx, &wire.SettleRequest{Instance: a.inst.Name, Attempt: a.id[:], Grant: grant})
+	if err == nil && reply.GetSettlement() == wire.Settlement_SETTLEMENT_NOT_RUN {
+		f.Outcome = request.NotRun
+	}
+	a.s.Log.Info("Settled attempt.", "instance", a.inst.Name, "outcome", f.Outcome, "cause", cause)
+	return f
+}
--- /dev/null
+++ b/lib/service/handoff/handoff.go
@@ -0,0 +1,141 @@
+package handoff
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"cassiarack.example/lib/decision/route"
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/service"
+	configservice "cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/service/router"
+)
+
+const (
+	// maxAttempts bounds the instances that one request is offered to.
+	maxAttempts = 4
+	// patience is the longest wait in the queue of one gate.
+	patience = 100 * time.Millisecond
+	// reserveTimeout bounds the wait for the answer to a reserve beyond the
+	// patience.
+	reserveTimeout = 400 * time.Millisecond
+	// settleTimeout bounds the wait for a settlement.
+	settleTimeout = time.Second
+	// retryBase is the mean delay before the second attempt.
+	retryBase = 5 * time.Millisecond
+)
+
+// Service hands requests over.
+type Service struct {
+	// Log receives lost links.
+	Log *log.Logger
+
+	config *configservice.Service
+	peers  *peers.Service
+	router router.Router
+	scope  tally.Scope
+}
+
+// Bind implements kernel.Service.
+func (s *Service) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.config, err = kernel.Find[*configservice.Service](dir, service.Config); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Find[*peers.Service](dir, service.Peers); err != nil {
+		return err
+	}
+	m, err := kernel.Find[*metrics.Service](dir, service.Metrics)
+	if err != nil {
+		return err
+	}
+	s.scope = m.Scope().SubScope("handoff")
+	s.router, err = router.Find(dir)
+	return err
+}
+
+// Run implements kernel.Service. The work is done in the goroutines of the
+// requests.
+func (s *Service) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+// Do hands a request over and returns its answer, or a *request.Failure.
+// The caller must read the answer's pieces up to the last.
+func (s *Service) Do(ctx context.Context, req *request.Request) (*request.Answer, *request.Failure) {
+	conf := s.config.Current()
+	if conf == nil {
+		return nil, notRun(request.ReasonNotServing, "the node has no configuration yet")
+	}
+	rt, err := route.Find(conf, req.Method, req.Path)
+	if err != nil {
+		return nil, notRun(request.ReasonNoRoute, err.Error())
+	}
+	b := newReplay(req.Body)
+	var tried []string
+	var last *request.Failure
+	for n := 0; n < maxAttempts; n++ {
+		inst, err := s.router.Choose(ctx, router.Query{Service: rt.Service, Exclude: tried})
+		if err != nil {
+			return nil, s.noInstance(last, err)
+		}
+		tried = append(tried, inst.Name)
+		answer, failure := s.attempt(ctx, req, rt, inst, b)
+		if failure == nil {
+			s.scope.Counter("answered").Inc(1)
+			return answer, nil
+		}
+		last = failure
+		if !mayRetry(failure, rt.Idempotent, b) || !sleep(ctx, n) {
+			break
+		}
+	}
+	s.scope.Tagged(map[string]string{"outcome": string(last.Outcome)}).Counter("failed").Inc(1)
+	return nil, last
+}
+
+func notRun(r request.Reason, detail string) *request.Failure {
+	return &request.Failure{Outcome: request.NotRun, Reason: r, Detail: detail}
+}
+
+// noInstance returns the failure of a request that no further instance can
+// take: that of the last attempt, if there was one.
+func (s *Service) noInstance(last *request.Failure, err error) *request.Failure {
+	if last != nil {
+		return last
+	}
+	return notRun(request.ReasonNoInstance, err.Error())
+}
+
+// mayRetry reports whether another instance may be tried: the work did not run
+// or is idempotent, and its body can be sent again.
+func mayRetry(f *request.Failure, idempotent bool, b *replay) bool {
+	if f.Outcome != request.NotRun && !idempotent {
+		return false
+	}
+	if f.Reason == request.ReasonCancelled || f.Reason == request.ReasonDeadline || f.Reason == request.ReasonBody {
+		return false
+	}
+	return b.replayable()
+}
+
+// sleep waits before attempt n+1 with full jitter. It reports false when the
+// caller's time is over.
+func sleep(ctx context.Context, n int) bool {
+	t := time.NewTimer(rand.N(retryBase << n))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/lib/service/peers/peers.go
@@ -0,0 +1,126 @@
+// Package peers is the service that connects a node with other nodes over
+// drpc: it serves their calls and keeps connections to them.
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"cassiarack.example/lib/kernel"
+)
+
+// Limits of connections between nodes.
+const (
+	// MaxMessage bounds one message between nodes, in bytes.
+	MaxMessage = 2 << 20
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = time.Second
+	// idleTimeout closes connections that carry no call.
+	idleTimeout = time.Minute
+	// callTimeout bounds the wait for a call on an accepted connection. It
+	// exceeds idleTimeout, so that the calling side closes first and no call
+	// meets a connection that the other side just closed.
+	callTimeout = 2 * idleTimeout
+	// cancelGrace lets a send that is in progress end before a cancellation.
+	cancelGrace = 5 * time.Millisecond
+
+	poolCapacity    = 1024
+	poolKeyCapacity = 32
+)
+
+// Service connects nodes.
+type Service struct {
+	// Listener accepts connections of other nodes.
+	Listener net.Listener
+	// Server and Client enable TLS between nodes; both or neither are set.
+	Server *tls.Config
+	Client *tls.Config
+	// Log receives connection errors.
+	Log *log.Logger
+
+	mux  *drpcmux.Mux
+	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+}
+
+// Bind implements kernel.Service.
+func (s *Service) Bind(*kernel.Directory) error {
+	s.mux = drpcmux.New()
+	s.pool = drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
+		Expiration: idleTimeout, Capacity: poolCapacity, KeyCapacity: poolKeyCapacity,
+	})
+	return nil
+}
+
+// Mux returns where services register their calls. It may be used by the Bind
+// methods of services that need this one.
+func (s *Service) Mux() drpc.Mux { return s.mux }
+
+// Conn returns a connection to a node. It dials when the first call is made.
+func (s *Service) Conn(ctx context.Context, addr netip.AddrPort) drpc.Conn {
+	return s.pool.Get(ctx, addr, s.dial)
+}
+
+func (s *Service) dial(ctx context.Context, addr netip.AddrPort) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("dial node %v: %w", addr, err)
+	}
+	if s.Client != nil {
+		conn := tls.Client(raw, s.Client)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			return nil, fmt.Errorf("dial node %v: %w", addr, errors.Join(err, raw.Close()))
+		}
+		raw = conn
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage},
+		SoftCancel:      true,
+		SoftCancelGrace: cancelGrace,
+	}
+}
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	opts := managerOptions()
+	opts.InactivityTimeout = callTimeout
+	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{
+		Manager: opts,
+		Log:     func(err error) { s.Log.Debug("Connection ended.", "err", err) },
+	})
+	lis := s.Listener
+	if s.Server != nil {
+		lis = tls.NewListener(lis, s.Server)
+	}
+	err := server.Serve(ctx, lis)
+	if closeErr := s.pool.Close(); closeErr != nil {
+		s.Log.Debug("Pool closed.", "err", closeErr)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err == nil {
+		return errors.New("listener closed")
+	}
+	return fmt.Errorf("serve nodes: %w", err)
+}
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"cassiarack.example/lib/decision/choice"
+	"cassiarack.example/lib/input/settings"
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/platform"
+	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/admin"
+	"cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/front"
+	"cassiarack.example/lib/service/gate"
+	"cassiarack.example/lib/service/handoff"
+	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/service/reader"
+	"cassiarack.example/lib/service/router"
+)
+
+// listeners are the sockets of a node.
+type listeners struct {
+	callers, fleet, admin net.Listener
+}
+
+func listen(s *settings.Settings) (*listeners, error) {
+	var l listeners
+	var errs []error
+	open := func(what string, a netip.AddrPort) net.Listener {
+		lis, err := net.Listen("tcp", a.String())
+		if err != nil {
+			errs = append(errs, fmt.Errorf("listen for %s: %w", what, err))
+		}
+		return lis
+	}
+	l.callers = open("callers", s.Callers)
+	l.fleet = open("other nodes", s.Fleet)
+	l.admin = open("operators", s.Admin)
+	return &l, errors.Join(errs...)
+}
+
+// node holds what the registrations of a node share.
+type node struct {
+	settings    *settings.Settings
+	listeners   *listeners
+	incarnation uint64
+	level       log.Level
+}
+
+// log returns the logger of a part.
+func (n *node) log(part string) *log.Logger {
+	return log.NewWithOptions(os.Stderr, log.Options{Prefix: part, Level: n.level, ReportTimestamp: true,
+		TimeFormat: time.RFC3339Nano})
+}
+
+func serve(ctx context.Context, s *settings.Settings, logLevel string) error {
+	level, err := log.ParseLevel(logLevel)
+	if err != nil {
+		return fmt.Errorf("flag --log-level: %w", err)
+	}
+	stopTracing, err := startTracing(ctx, s)
+	if err != nil {
+		return err
+	}
+	defer stopTracing()
+	l, err := listen(s)
+	if err != nil {
+		return err
+	}
+	n := &node{settings: s, listeners: l, incarnation: uint64(time.Now().UnixNano()), level: level}
+	k := &kernel.Kernel{Registrations: n.registrations(), Log: n.log("kernel"), DrainTimeout: s.DrainTimeout}
+	n.log("node").Info("Started.", "vm", s.Name, "callers", l.callers.Addr(), "fleet", l.fleet.Addr(),
+		"admin", l.admin.Addr())
+	err = k.Run(ctx)
+	n.log("node").Info("Stopped.", "vm", s.Name)
+	return err
+}
+
+// registrations lists the services of a node.
+func (n *node) registrations() []kernel.Registration {
+	s := n.settings
+	seed := rand.NewPCG(n.incarnation, uint64(os.Getpid()))
+	return []kernel.Registration{
+		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
+		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
+		{Name: service.Config, Service: &config.Service{Log: n.log("config")}},
+		{
+			Name:    service.Reader,
+			Needs:   []string{service.Config},
+			Service: &reader.Service{Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
+		},
+		{
+			Name:    service.Router,
+			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: rand.New(seed)},
+		},
+		{
+			Name:    service.Gate,
+			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
+		},
+		{
+			Name:    service.Handoff,
+			Needs:   []string{service.Config, service.Peers, service.Router, service.Metrics},
+			Service: &handoff.Service{Log: n.log("handoff")},
+		},
+		{
+			Name:  service.Front,
+			Needs: []string{service.Handoff},
+			Service: &front.Service{Listener: n.listeners.callers, VM: s.Name, Timeout: s.RequestTimeout,
+				Log: n.log("front")},
+		},
+		{
+			Name:  service.Admin,
+			Needs: []string{service.Config, service.Metrics},
+			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
+				Log: n.log("admin")},
+		},
+	}
+}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,164 @@
+// Package backend is a stand-in for a backend server. It counts each execution,
+// so that tests compare what callers were told with what ran.
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// HeaderRequest carries the identifier under which an execution is counted.
+const HeaderRequest = "X-Request-Id"
+
+// Fault is how a backend server misbehaves. The zero value is healthy.
+type Fault struct {
+	// ErrorShare of the requests is answered with status 500.
+	ErrorShare float64 `json:"errorShare"`
+	// Slowdown multiplies the service time; 0 means 1.
+	Slowdown float64 `json:"slowdown"`
+	// HangShare of the requests gets no answer.
+	HangShare float64 `json:"hangShare"`
+}
+
+// Server is a backend server.
+type Server struct {
+	// Name is the instance's name, which each answer carries.
+	Name string
+	// ServiceTime is the mean time of a request.
+	ServiceTime time.Duration
+	// StragglerShare of the requests takes StragglerFactor times as long.
+	StragglerShare  float64
+	StragglerFactor float64
+
+	mu      sync.Mutex
+	fault   Fault
+	counts  map[string]int
+	running int
+	peak    int
+}
+
+// SetFault changes how the server misbehaves.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Executions returns how often each request was executed.
+func (s *Server) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.counts))
+	for k, v := range s.counts {
+		out[k] = v
+	}
+	return out
+}
+
+// Peak returns the largest number of requests that ran at once.
+func (s *Server) Peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+// Handler serves requests, and the control calls under /_standin/.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter().SkipClean(true)
+	r.HandleFunc("/_standin/fault", s.control).Methods(http.MethodPut)
+	r.HandleFunc("/_standin/executions", s.executions).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	r.NewRoute().HandlerFunc(s.serve)
+	return r
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFault(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) executions(w http.ResponseWriter, _ *http.Request) {
+	// An error means that the reader went away.
+	_ = json.NewEncoder(w).Encode(s.Executions())
+}
+
+// begin counts an execution and returns the fault in force.
+func (s *Server) begin(id string) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts == nil {
+		s.counts = make(map[string]int)
+	}
+	if id != "" {
+		s.counts[id]++
+	}
+	s.running++
+	s.peak = max(s.peak, s.running)
+	return s.fault
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	f := s.begin(r.Header.Get(HeaderRequest))
+	defer s.end()
+	if rand.Float64() < f.HangShare {
+		<-r.Context().Done()
+		return
+	}
+	if !s.work(r, f) {
+		return
+	}
+	if rand.Float64() < f.ErrorShare {
+		http.Error(w, "fault", http.StatusInternalServerError)
+		return
+	}
+	// The answer begins before the request's body is read to its end.
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("X-Served-By", s.Name)
+	w.Header().Set("Content-Type", r.Header.Get("Content-Type"))
+	if r.ContentLength >= 0 {
+		w.Header().Set("Content-Length", fmt.Sprint(r.ContentLength))
+	}
+	// The answer is the body of the request. An error means that the caller
+	// went away.
+	_, _ = io.Copy(w, r.Body)
+}
+
+// work takes the service time. It reports false when the caller went away.
+func (s *Server) work(r *http.Request, f Fault) bool {
+	d := time.Duration(rand.ExpFloat64() * float64(s.ServiceTime))
+	if rand.Float64() < s.StragglerShare {
+		d = time.Duration(float64(d) * s.StragglerFactor)
+	}
+	if f.Slowdown > 0 {
+		d = time.Duration(float64(d) * f.Slowdown)
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,261 @@
+// Package fleet runs a local fleet: the platform and the backend servers as
+// stand-ins, and one real node process for each VM.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"cassiarack.example/standin/backend"
+	"cassiarack.example/standin/platform"
+)
+
+// Fleet is a local fleet. Set the exported fields, then call Start.
+type Fleet struct {
+	Deployment Deployment
+	// Node is the path of the node program.
+	Node string
+	// Folder receives settings and logs.
+	Folder string
+	// Rules is the first rules document.
+	Rules []byte
+
+	// Platform, VMs and Register are filled by Start.
+	Platform *platform.Server
+	VMs      []*VM
+	Register []byte
+
+	platformAddress netip.AddrPort
+	addresses       *addresses
+	servers         []*http.Server
+}
+
+// VM is a VM of the fleet: a backend server and the node beside it.
+type VM struct {
+	Name       string
+	DataCentre string
+	Service    Service
+	Server     *backend.Server
+	Backend    netip.AddrPort
+	Callers    netip.AddrPort
+	Fleet      netip.AddrPort
+	Admin      netip.AddrPort
+	// Process is the node.
+	Process *exec.Cmd
+}
+
+// Start starts all parts. The caller must call Stop, also after an error.
+func (f *Fleet) Start(ctx context.Context) error {
+	f.Platform = &platform.Server{}
+	f.addresses = newAddresses()
+	var err error
+	if f.platformAddress, err = f.serve(f.Platform.Handler()); err != nil {
+		return err
+	}
+	if err := f.startBackends(); err != nil {
+		return err
+	}
+	if f.Register, err = f.registerDocument(); err != nil {
+		return err
+	}
+	f.Publish(f.Rules)
+	for _, v := range f.VMs {
+		if err := f.StartNode(v); err != nil {
+			return err
+		}
+	}
+	return f.WaitReady(ctx)
+}
+
+// Publish publishes the register with other rules and returns the revision.
+func (f *Fleet) Publish(rules []byte) uint64 {
+	if len(rules) == 0 {
+		rules = []byte("{}")
+	}
+	return f.Platform.Publish(map[string][]byte{"register": f.Register, "rules": rules})
+}
+
+func (f *Fleet) startBackends() error {
+	for _, s := range f.Deployment.Services {
+		for i := range s.Instances {
+			v := &VM{
+				Name:       fmt.Sprintf("%s-%02d", s.Name, i+1),
+				DataCentre: f.Deployment.DataCentres[i%len(f.Deployment.DataCentres)],
+				Service:    s,
+			}
+			v.Server = &backend.Server{Name: v.Name, ServiceTime: s.ServiceTime}
+			var err error
+			if v.Backend, err = f.serve(v.Server.Handler()); err != nil {
+				return err
+			}
+			free, err := f.addresses.take()
+			if err != nil {
+				return err
+			}
+			v.Callers, v.Fleet, v.Admin = free[0], free[1], free[2]
+			f.VMs = append(f.VMs, v)
+		}
+	}
+	return nil
+}
+
+// serve starts an HTTP server on a free port of the loopback interface.
+func (f *Fleet) serve(h http.Handler) (netip.AddrPort, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, s)
+	go func() {
+		if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			fmt.Fprintln(os.Stderr, "stand-in server:", err)
+		}
+	}()
+	return lis.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// addresses hands out loopback IPs. Each VM has an IP of its own, so that a port
+// that was free when it was chosen is not taken by an outgoing connection, whose
+// source is 127.0.0.1.
+type addresses struct {
+	next netip.Addr
+}
+
+func newAddresses() *addresses {
+	// The middle octets keep fleets that run at the same time apart.
+	return &addresses{next: netip.AddrFrom4([4]byte{127, byte(1 + rand.N(254)), byte(rand.N(256)), 1})}
+}
+
+// take returns three addresses of the next IP with ports from the kernel.
+func (a *addresses) take() (out [3]netip.AddrPort, err error) {
+	ip := a.next
+	a.next = ip.Next()
+	for i := range out {
+		lis, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+		if err != nil {
+			return out, fmt.Errorf("listen: %w", err)
+		}
+		defer lis.Close()
+		out[i] = lis.Addr().(*net.TCPAddr).AddrPort()
+	}
+	return out, nil
+}
+
+// StartNode starts the node of a VM.
+func (f *Fleet) StartNode(v *VM) error {
+	settings, err := json.MarshalIndent(map[string]any{
+		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
+		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress,
+	}, "", "  ")
+	if err != nil {
+		return fmt.Errorf("render settings: %w", err)
+	}
+	path := filepath.Join(f.Folder, v.Name+".settings.json")
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	logs, err := os.OpenFile(filepath.Join(f.Folder, v.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	defer logs.Close()
+	v.Process = exec.Command(f.Node, "--settings", path)
+	v.Process.Stdout, v.Process.Stderr = logs, logs
+	// A node must not outlive a rig that was killed.
+	v.Process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := v.Process.Start(); err != nil {
+		return fmt.Errorf("start node %s: %w", v.Name, err)
+	}
+	return nil
+}
+
+// readyPoll is how often WaitReady asks a node.
+const readyPoll = 20 * time.Millisecond
+
+// WaitReady waits until every node with a process serves.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, v := range f.VMs {
+		if v.Process == nil {
+			continue
+		}
+		for !ready(ctx, v) {
+			if ctx.Err() != nil {
+				return fmt.Errorf("node %s is not ready: %w", v.Name, ctx.Err())
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, v *VM) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Admin.String()+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// StopNode stops the node of a VM gracefully and waits for its end.
+func (v *VM) StopNode() error {
+	if v.Process == nil {
+		return nil
+	}
+	p := v.Process
+	v.Process = nil
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("stop node %s: %w", v.Name, err)
+	}
+	if err := p.Wait(); err != nil {
+		return fmt.Errorf("node %s: %w", v.Name, err)
+	}
+	return nil
+}
+
+// KillNode ends the node of a VM at once.
+func (v *VM) KillNode() error {
+	p := v.Process
+	v.Process = nil
+	if err := p.Process.Kill(); err != nil {
+		return fmt.Errorf("kill node %s: %w", v.Name, err)
+	}
+	// Wait reports the signal, which is expected.
+	_ = p.Wait()
+	return nil
+}
+
+// Stop stops all nodes gracefully, then the stand-ins.
+func (f *Fleet) Stop() error {
+	errs := make([]error, len(f.VMs))
+	done := make(chan struct{})
+	for i, v := range f.VMs {
+		go func() {
+			errs[i] = v.StopNode()
+			done <- struct{}{}
+		}()
+	}
+	for range f.VMs {
+		<-done
+	}
+	for _, s := range f.servers {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/standin/fleet_command.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"cassiarack.example/standin/fleet"
+)
+
+const startTimeout = time.Minute
+
+func fleetCommand() *ff.Command {
+	fs := ff.NewFlagSet("fleet")
+	node := fs.String('n', "node", ".bin/cassiarack-node", "node program")
+	name := fs.String('d', "deployment", fleet.Latvia.Name, "deployment to run")
+	return &ff.Command{
+		Name:      "fleet",
+		Usage:     "cassiarack-standin fleet [FLAGS]",
+		ShortHelp: "run a local fleet until interrupted",
+		Flags:     fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			d, ok := fleet.Deployments[*name]
+			if !ok {
+				return fmt.Errorf("flag --deployment: found %q; allowed: latvia, rioGrandeDoSul", *name)
+			}
+			return runFleet(ctx, d, *node)
+		},
+	}
+}
+
+func runFleet(ctx context.Context, d fleet.Deployment, node string) (err error) {
+	folder, err := os.MkdirTemp("", "cassiarack-fleet-")
+	if err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	f := &fleet.Fleet{Deployment: d, Node: node, Folder: folder}
+	start, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := f.Start(start); err != nil {
+		return fmt.Errorf("start fleet: %w (logs in %s)", err, folder)
+	}
+	fmt.Printf("%s: %d nodes are ready; logs in %s\n", d.Name, len(f.VMs), folder)
+	for _, v := range f.VMs {
+		fmt.Printf("%-16s %-8s callers http://%v/%s/ operators http://%v\n", v.Name, v.DataCentre, v.Callers, v.Service.Name, v.Admin)
+	}
+	<-ctx.Done()
+	return f.Stop()
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,176 @@
+// Package platform is a stand-in for the platform's configuration service and
+// its list of VMs. It keeps everything in memory.
+package platform
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"cassiarack.example/lib/platform"
+)
+
+// maxWait bounds a watch.
+const maxWait = time.Minute
+
+// Server is the platform. The zero value is usable.
+type Server struct {
+	reads   atomic.Int64
+	mu      sync.Mutex
+	changed chan struct{}
+	down    bool
+	shown   int
+	history []revision
+	vms     platform.VMList
+}
+
+// revision is one published configuration.
+type revision struct {
+	manifest  platform.Manifest
+	documents map[string][]byte
+}
+
+// Publish makes documents the newest revision and returns its number.
+func (s *Server) Publish(documents map[string][]byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number := uint64(len(s.history) + 1)
+	m := platform.Manifest{Revision: number}
+	for name, content := range documents {
+		sum := sha256.Sum256(content)
+		m.Documents = append(m.Documents, platform.Document{Name: name, Size: int64(len(content)),
+			SHA256: hex.EncodeToString(sum[:])})
+	}
+	slices.SortFunc(m.Documents, func(a, b platform.Document) int { return strings.Compare(a.Name, b.Name) })
+	s.history = append(s.history, revision{manifest: m, documents: documents})
+	s.shown = len(s.history)
+	s.notify()
+	return number
+}
+
+// ShowOlder serves an older revision as if it were the newest, or the newest
+// again if number is 0.
+func (s *Server) ShowOlder(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shown = int(number)
+	if number == 0 {
+		s.shown = len(s.history)
+	}
+	s.notify()
+}
+
+// SetDown makes all calls fail, or work again.
+func (s *Server) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.notify()
+}
+
+// SetVMs replaces the list of VMs.
+func (s *Server) SetVMs(vms []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = platform.VMList{Revision: s.vms.Revision + 1, VMs: vms}
+	s.notify()
+}
+
+// Reads returns the number of calls since the start. A watch counts as one.
+func (s *Server) Reads() int64 { return s.reads.Load() }
+
+// notify wakes the watches. The caller holds the lock.
+func (s *Server) notify() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// Handler serves the platform's interface.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/revision", s.watch(func() (uint64, any) {
+		if s.shown == 0 {
+			return 0, nil
+		}
+		m := s.history[s.shown-1].manifest
+		return m.Revision, m
+	}))
+	r.HandleFunc("/v1/vms", s.watch(func() (uint64, any) { return s.vms.Revision, s.vms }))
+	r.HandleFunc("/v1/documents/{name}", s.document)
+	return r
+}
+
+// watch answers when current gives a number above the one asked for.
+func (s *Server) watch(current func() (uint64, any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.reads.Add(1)
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+		timeout := time.NewTimer(min(wait, maxWait))
+		defer timeout.Stop()
+		for {
+			s.mu.Lock()
+			if s.changed == nil {
+				s.changed = make(chan struct{})
+			}
+			down, changed := s.down, s.changed
+			number, value := current()
+			s.mu.Unlock()
+			switch {
+			case down:
+				http.Error(w, "down", http.StatusServiceUnavailable)
+				return
+			case number > after:
+				writeJSON(w, value)
+				return
+			}
+			select {
+			case <-changed:
+			case <-timeout.C:
+				w.WriteHeader(http.StatusNotModified)
+				return
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error means that the reader went away.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (s *Server) document(w http.ResponseWriter, r *http.Request) {
+	s.reads.Add(1)
+	number, _ := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	if number < 1 || number > uint64(len(s.history)) {
+		http.NotFound(w, r)
+		return
+	}
+	content, ok := s.history[number-1].documents[mux.Vars(r)["name"]]
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	// An error means that the reader went away.
+	_, _ = w.Write(content)
+}
--- /dev/null
+++ b/standin/proof/doc.go
@@ -0,0 +1,3 @@
+// Package proof tests the properties that must always hold with real node
+// processes and stand-ins. It has no code outside its tests.
+package proof
--- /dev/null
+++ b/standin/proof/main_test.go
@@ -0,0 +1,80 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cassiarack.example/standin/fleet"
+)
+
+// startTimeout is generous, as CI machines may be busy.
+const startTimeout = 2 * time.Minute
+
+// nodeProgram is the path of the node program, built once with the race
+// detector.
+var nodeProgram string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "cassiarack-proof-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	nodeProgram = filepath.Join(folder, "cassiarack-node")
+	build := exec.Command("go", "build", "-race", "-o", nodeProgram, "../../node")
+	build.Stderr = os.Stderr
+	code := 1
+	if build.Run() == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// small is a deployment that is quick to start.
+var small = fleet.Deployment{
+	Name:        "small",
+	Region:      "north",
+	DataCentres: []string{"north-1", "north-2", "north-3"},
+	Services: []fleet.Service{
+		{Name: "orders", Instances: 3, Slots: 3, Connections: 400, ServiceTime: 2 * time.Millisecond},
+		{Name: "stock", Instances: 3, Slots: 3, Connections: 400, ServiceTime: 2 * time.Millisecond},
+	},
+}
+
+// start runs a fleet for the time of the test.
+func start(t *testing.T, d fleet.Deployment, rules string) *fleet.Fleet {
+	t.Helper()
+	f := &fleet.Fleet{Deployment: d, Node: nodeProgram, Folder: t.TempDir(), Rules: []byte(rules)}
+	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
+	defer cancel()
+	t.Cleanup(func() {
+		if err := f.Stop(); err != nil {
+			t.Errorf("stop fleet: %v", err)
+		}
+		if t.Failed() {
+			printLogs(t, f.Folder)
+		}
+	})
+	if err := f.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func printLogs(t *testing.T, folder string) {
+	logs, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, l := range logs {
+		text, err := os.ReadFile(l)
+		if err != nil {
+			continue
+		}
+		const longest = 4 << 10
+		t.Logf("%s:\n%s", filepath.Base(l), text[max(0, len(text)-longest):])
+	}
+}
--- /dev/null
+++ b/standin/proof/path_test.go
@@ -0,0 +1,84 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/standin/backend"
+	"cassiarack.example/standin/fleet"
+)
+
+// TestOwnAnswer guards against crossed answers and doubled runs: each of many
+// concurrent requests with distinct bodies gets its own body back, and no
+// request that was answered ran more than once.
+func TestOwnAnswer(t *testing.T) {
+	is := is.New(t)
+	f := start(t, small, "")
+	const requests, workers = 2000, 50
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	next := make(chan int)
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for i := range next {
+				if err := exchangeOnce(t.Context(), client, f.VMs[i%len(f.VMs)], i); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	for i := range requests {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+	runs := executions(f)
+	for id, n := range runs {
+		if n > 1 {
+			t.Errorf("request %s ran %d times", id, n)
+		}
+	}
+	is.Equal(len(runs), requests)
+}
+
+// exchangeOnce sends a request with a body of its own and checks its answer.
+func exchangeOnce(ctx context.Context, client *http.Client, entry *fleet.VM, i int) error {
+	body := bytes.Repeat([]byte(fmt.Sprintf("request %d;", i)), 1+i%500)
+	url := fmt.Sprintf("http://%v/%s/accept", entry.Callers, []string{"orders", "stock"}[i%2])
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(backend.HeaderRequest, fmt.Sprint(i))
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	got, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK || !bytes.Equal(got, body) {
+		return fmt.Errorf("request %d: status %d, %d bytes, want %d: %.200s", i, res.StatusCode, len(got), len(body), got)
+	}
+	return nil
+}
+
+// executions sums the executions of all backend servers.
+func executions(f *fleet.Fleet) map[string]int {
+	sum := make(map[string]int)
+	for _, v := range f.VMs {
+		for id, n := range v.Server.Executions() {
+			sum[id] += n
+		}
+	}
+	return sum
+}
