Tell the file, line and column of every fault of register and rules

Cause: contradictions between register and rules, such as a floor above the number of instances, named the value but not its place. Change: each entry keeps its place; faults come in a fixed order; a path that names a service without the last slash reaches it.

--- a/lib/decision/config/compile.go
+++ b/lib/decision/config/compile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"cassiarack.example/lib/input/register"
 	"cassiarack.example/lib/input/rules"
+	"cassiarack.example/lib/input/strict"
 )
 
 // compiler collects the faults of one compilation.
@@ -19,28 +21,28 @@
 	faults Errors
 }
 
-func (c *compiler) fault(op string, kind Kind, found, allowed string) {
-	c.faults = append(c.faults, &Error{Op: op, Kind: kind, Found: found, Allowed: allowed})
+func (c *compiler) fault(at strict.Place, op string, kind Kind, found, allowed string) {
+	c.faults = append(c.faults, &Error{Op: op, Kind: kind, At: at, Found: found, Allowed: allowed})
 }
 
 func (c *compiler) services(ss []register.Service) {
 	for _, s := range ss {
 		if _, dup := c.conf.Services[s.Name]; dup {
-			c.fault("services", KindDuplicate, strconv.Quote(s.Name), "")
+			c.fault(s.At, "services", KindDuplicate, strconv.Quote(s.Name), "")
 			continue
 		}
 		svc := &Service{Name: s.Name, Slots: s.Slots, Connections: s.Connections}
 		c.conf.Services[s.Name] = svc
-		c.prefix("/"+s.Name+"/", svc)
+		c.prefix(s.At, "/"+s.Name+"/", svc)
 		for _, r := range s.Routes {
-			c.prefix(r, svc)
+			c.prefix(s.At, r, svc)
 		}
 	}
 }
 
-func (c *compiler) prefix(path string, s *Service) {
+func (c *compiler) prefix(at strict.Place, path string, s *Service) {
 	if other, dup := c.conf.Prefixes[path]; dup {
-		c.fault("routes", KindOverlap, fmt.Sprintf("%q at services %s and %s", path, other.Name, s.Name),
+		c.fault(at, "routes", KindOverlap, fmt.Sprintf("%q at services %s and %s", path, other.Name, s.Name),
 			"each path prefix once")
 		return
 	}
@@ -50,7 +52,7 @@
 func (c *compiler) organisations(orgs []register.Organisation) {
 	for _, o := range orgs {
 		if _, dup := c.conf.Organisations[o.Name]; dup {
-			c.fault("organisations", KindDuplicate, strconv.Quote(o.Name), "")
+			c.fault(o.At, "organisations", KindDuplicate, strconv.Quote(o.Name), "")
 			continue
 		}
 		c.conf.Organisations[o.Name] = o.Weight
@@ -60,7 +62,7 @@
 func (c *compiler) vms(vms []register.VM) {
 	for _, v := range vms {
 		if _, dup := c.conf.VMs[v.Name]; dup {
-			c.fault("vms", KindDuplicate, strconv.Quote(v.Name), "")
+			c.fault(v.At, "vms", KindDuplicate, strconv.Quote(v.Name), "")
 			continue
 		}
 		vm := &VM{Name: v.Name, Region: v.Region, DataCentre: v.DataCentre, Node: v.Node}
@@ -74,12 +76,12 @@
 func (c *compiler) instance(vm *VM, i register.Instance) {
 	svc, ok := c.conf.Services[i.Service]
 	if !ok {
-		c.fault("instances", KindUnknown, fmt.Sprintf("service %q of instance %q", i.Service, i.Name),
+		c.fault(i.At, "instances", KindUnknown, fmt.Sprintf("service %q of instance %q", i.Service, i.Name),
 			"a service of the register")
 		return
 	}
 	if _, dup := c.conf.Instances[i.Name]; dup {
-		c.fault("instances", KindDuplicate, strconv.Quote(i.Name), "")
+		c.fault(i.At, "instances", KindDuplicate, strconv.Quote(i.Name), "")
 		return
 	}
 	inst := &Instance{Name: i.Name, Address: i.Address, VM: vm, Service: svc}
@@ -90,7 +92,7 @@
 
 func (c *compiler) rules(r *rules.Rules) {
 	for _, i := range r.Idempotent {
-		if s := c.service("idempotent", i.Service); s != nil {
+		if s := c.service(i.At, "idempotent", i.Service); s != nil {
 			s.Idempotent = append(s.Idempotent, i)
 		}
 	}
@@ -102,20 +104,20 @@
 	}
 }
 
-func (c *compiler) service(op, name string) *Service {
+func (c *compiler) service(at strict.Place, op, name string) *Service {
 	s, ok := c.conf.Services[name]
 	if !ok {
-		c.fault(op, KindUnknown, "service "+strconv.Quote(name), "a service of the register")
+		c.fault(at, op, KindUnknown, "service "+strconv.Quote(name), "a service of the register")
 	}
 	return s
 }
 
 func (c *compiler) floor(f rules.Floor) {
-	if c.service("floors", f.Service) == nil {
+	if c.service(f.At, "floors", f.Service) == nil {
 		return
 	}
 	if _, dup := c.floors[f.Service]; dup {
-		c.fault("floors", KindDuplicate, "a second floor of service "+strconv.Quote(f.Service), "one floor for a service")
+		c.fault(f.At, "floors", KindDuplicate, "a second floor of service "+strconv.Quote(f.Service), "one floor for a service")
 		return
 	}
 	if c.floors == nil {
@@ -128,7 +130,7 @@
 	if l.VM != "" {
 		vm, ok := c.conf.VMs[l.VM]
 		if !ok {
-			c.fault("leaving", KindUnknown, "VM "+strconv.Quote(l.VM), "a VM of the register")
+			c.fault(l.At, "leaving", KindUnknown, "VM "+strconv.Quote(l.VM), "a VM of the register")
 			return
 		}
 		for _, i := range vm.Instances {
@@ -138,11 +140,11 @@
 	}
 	inst, ok := c.conf.Instances[l.Instance]
 	if !ok {
-		c.fault("leaving", KindUnknown, "instance "+strconv.Quote(l.Instance), "an instance of the register")
+		c.fault(l.At, "leaving", KindUnknown, "instance "+strconv.Quote(l.Instance), "an instance of the register")
 		return
 	}
 	if inst.Leaving {
-		c.fault("leaving", KindDuplicate, "instance "+strconv.Quote(l.Instance), "each instance once")
+		c.fault(l.At, "leaving", KindDuplicate, "instance "+strconv.Quote(l.Instance), "each instance once")
 	}
 	inst.Leaving = true
 }
@@ -150,14 +152,16 @@
 // finish sorts the instances and derives floors and assignments.
 func (c *compiler) finish() {
 	if len(c.conf.VMs) == 0 {
-		c.fault("vms", KindEmpty, "no VM", "at least one VM")
+		c.fault(strict.Place{}, "vms", KindEmpty, "no VM", "at least one VM")
 	}
-	for _, s := range c.conf.Services {
+	// The order of the faults must not change from run to run.
+	for _, name := range slices.Sorted(maps.Keys(c.conf.Services)) {
+		s := c.conf.Services[name]
 		slices.SortFunc(s.Instances, func(a, b *Instance) int { return strings.Compare(a.Name, b.Name) })
 		n := len(s.Instances)
 		s.Floor = floorOf(c.floors, s.Name, n)
 		if s.Floor > n {
-			c.fault("floors", KindFloor, fmt.Sprintf("%d for service %q", s.Floor, s.Name),
+			c.fault(c.floors[s.Name].At, "floors", KindFloor, fmt.Sprintf("%d for service %q", s.Floor, s.Name),
 				fmt.Sprintf("at most %d instances", n))
 		}
 		s.Assignment = assignment(s)
--- a/lib/decision/config/errors.go
+++ b/lib/decision/config/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"cassiarack.example/lib/input/strict"
 )
 
 // Kind classifies an Error.
@@ -19,15 +21,20 @@
 
 // Error is a contradiction between parts of the register and the rules.
 type Error struct {
-	Op      string
-	Kind    Kind
+	Op   string
+	Kind Kind
+	// At is where the value stands; it is zero where there is no one place.
+	At      strict.Place
 	Found   string
 	Allowed string
 }
 
 // Error implements error.
 func (e *Error) Error() string {
-	s := fmt.Sprintf("config: %s: %s: found %s", e.Op, e.Kind, e.Found)
+	s := fmt.Sprintf("%s: %s: found %s", e.Op, e.Kind, e.Found)
+	if e.At.Line > 0 {
+		s = e.At.String() + ": " + s
+	}
 	if e.Allowed != "" {
 		s += "; allowed: " + e.Allowed
 	}
--- a/lib/decision/route/route.go
+++ b/lib/decision/route/route.go
@@ -46,6 +46,10 @@
 // longest first, so that its cost grows with the depth of the path and not
 // with the number of routes.
 func Find(c *config.Configuration, method, path string) (Route, error) {
+	// A path that names a prefix without its last slash belongs to the prefix.
+	if r, ok := lookup(c, method, path, path+"/"); ok && path != "" {
+		return r, nil
+	}
 	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
 		if r, ok := lookup(c, method, path, path[:end]); ok {
 			return r, nil
--- a/lib/input/register/register.go
+++ b/lib/input/register/register.go
@@ -28,6 +28,8 @@
 
 // VM is a machine with one node and its instances.
 type VM struct {
+	// At is where the entry stands.
+	At         strict.Place
 	Name       string
 	Region     string
 	DataCentre string
@@ -39,6 +41,8 @@
 
 // Instance is one backend server.
 type Instance struct {
+	// At is where the entry stands.
+	At      strict.Place
 	Name    string
 	Service string
 	// Address is where the backend server listens on its VM.
@@ -47,6 +51,8 @@
 
 // Service is a set of instances that serve the same requests.
 type Service struct {
+	// At is where the entry stands.
+	At   strict.Place
 	Name string
 	// Slots is the number of requests that an instance runs at once.
 	Slots int
@@ -58,6 +64,8 @@
 
 // Organisation is a customer.
 type Organisation struct {
+	// At is where the entry stands.
+	At   strict.Place
 	Name string
 	// Weight is its share relative to others; the default is 1.
 	Weight int
@@ -88,6 +96,7 @@
 
 func decodeVM(o *strict.Object) VM {
 	v := VM{
+		At:         o.Place(),
 		Name:       name(o, "name"),
 		Region:     name(o, "region"),
 		DataCentre: name(o, "dataCentre"),
@@ -95,7 +104,7 @@
 	}
 	o.Require("node")
 	for _, c := range o.Objects("instances") {
-		i := Instance{Name: name(c, "name"), Service: name(c, "service"), Address: c.AddrPort("address")}
+		i := Instance{At: c.Place(), Name: name(c, "name"), Service: name(c, "service"), Address: c.AddrPort("address")}
 		c.Require("address")
 		c.Close()
 		v.Instances = append(v.Instances, i)
@@ -106,6 +115,7 @@
 
 func decodeService(o *strict.Object) Service {
 	s := Service{
+		At:          o.Place(),
 		Name:        name(o, "name"),
 		Slots:       o.Int("slots", 1, 1, MaxSlots),
 		Connections: o.Int("connections", 400, 1, MaxConnections),
@@ -122,7 +132,7 @@
 }
 
 func decodeOrganisation(o *strict.Object) Organisation {
-	c := Organisation{Name: name(o, "name"), Weight: o.Int("weight", 1, 1, MaxWeight)}
+	c := Organisation{At: o.Place(), Name: name(o, "name"), Weight: o.Int("weight", 1, 1, MaxWeight)}
 	o.Close()
 	return c
 }
--- a/lib/input/strict/document.go
+++ b/lib/input/strict/document.go
@@ -16,6 +16,7 @@
 type Document struct {
 	file   string
 	text   []byte
+	lines  []int
 	root   hujson.Value
 	faults Errors
 }
@@ -72,18 +73,44 @@
 }
 
 func (d *Document) fault(kind Kind, key string, offset int, found, allowed string) {
-	line, column := place(d.text, offset)
-	d.faults = append(d.faults, &Error{Op: "check", Kind: kind, File: d.file, Line: line, Column: column,
+	at := d.place(offset)
+	d.faults = append(d.faults, &Error{Op: "check", Kind: kind, File: at.File, Line: at.Line, Column: at.Column,
 		Key: key, Found: found, Allowed: allowed})
 }
 
-// place returns the line and column of an offset, both from one.
-func place(text []byte, offset int) (line, column int) {
-	offset = min(max(offset, 0), len(text))
-	before := string(text[:offset])
-	line = strings.Count(before, "\n") + 1
-	column = offset - (strings.LastIndex(before, "\n") + 1) + 1
-	return line, column
+// Place is where a value stands.
+type Place struct {
+	File string
+	// Line and Column start at one.
+	Line, Column int
+}
+
+// String returns the place in the form that editors understand.
+func (p Place) String() string { return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column) }
+
+func (d *Document) place(offset int) Place {
+	offset = min(max(offset, 0), len(d.text))
+	// Line starts are found once, as a register of the target size has 100,000
+	// objects and each has its place.
+	if d.lines == nil {
+		d.lines = lineStarts(d.text)
+	}
+	line, exact := slices.BinarySearch(d.lines, offset)
+	if !exact {
+		line--
+	}
+	return Place{File: d.file, Line: line + 1, Column: offset - d.lines[line] + 1}
+}
+
+// lineStarts returns the offsets at which lines start.
+func lineStarts(text []byte) []int {
+	starts := []int{0}
+	for i, c := range text {
+		if c == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
 }
 
 // Object gives access to the members of an object. Members that were not asked
@@ -135,6 +162,9 @@
 	return o.members[name]
 }
 
+// Place returns where the object stands.
+func (o *Object) Place() Place { return o.doc.place(o.offset) }
+
 // Has reports whether the object has the key.
 func (o *Object) Has(name string) bool { return o.members[name] != nil }
 
