--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -93,7 +93,7 @@
 			s.scope.Counter("answered").Inc(1)
 			return answer, nil
 		}
-		last = failure
+		last = combine(last, failure)
 		if !mayRetry(failure, rt.Idempotent, b) || !sleep(ctx, n) {
 			break
 		}
@@ -106,6 +106,15 @@
 	return &request.Failure{Outcome: request.NotRun, Reason: r, Detail: detail}
 }
 
+// combine returns the failure of a request after another attempt failed. Once an
+// attempt may have run, the request is never reported as not run.
+func combine(earlier, next *request.Failure) *request.Failure {
+	if earlier != nil && earlier.Outcome == request.Unknown && next.Outcome == request.NotRun {
+		return earlier
+	}
+	return next
+}
+
 // noInstance returns the failure of a request that no further instance can
 // take: that of the last attempt, if there was one.
 func (s *Service) noInstance(last *request.Failure, err error) *request.Failure {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -17,6 +17,9 @@
 // HeaderRequest carries the identifier under which an execution is counted.
 const HeaderRequest = "X-Request-Id"
 
+// HeaderWork asks for a service time, such as "20ms".
+const HeaderWork = "X-Standin-Work"
+
 // Fault is how a backend server misbehaves. The zero value is healthy.
 type Fault struct {
 	// ErrorShare of the requests is answered with status 500.
@@ -33,14 +36,19 @@
 	Name string
 	// ServiceTime is the mean time of a request.
 	ServiceTime time.Duration
+	// Slots bounds the requests that run at once; others wait. Zero means no
+	// bound.
+	Slots int
 	// StragglerShare of the requests takes StragglerFactor times as long.
 	StragglerShare  float64
 	StragglerFactor float64
 
+	once    sync.Once
+	slots   chan struct{}
 	mu      sync.Mutex
 	fault   Fault
 	counts  map[string]int
-	running int
+	present int
 	peak    int
 }
 
@@ -62,7 +70,8 @@
 	return out
 }
 
-// Peak returns the largest number of requests that ran at once.
+// Peak returns the largest number of requests that were at the server at once,
+// waiting ones included.
 func (s *Server) Peak() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,20 +113,54 @@
 	if id != "" {
 		s.counts[id]++
 	}
-	s.running++
-	s.peak = max(s.peak, s.running)
 	return s.fault
 }
 
-func (s *Server) end() {
+func (s *Server) arrive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.present++
+	s.peak = max(s.peak, s.present)
+}
+
+func (s *Server) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running--
+	s.present--
+}
+
+// acquire waits for a slot. It reports false when the caller went away.
+func (s *Server) acquire(r *http.Request) bool {
+	s.once.Do(func() {
+		if s.Slots > 0 {
+			s.slots = make(chan struct{}, s.Slots)
+		}
+	})
+	if s.slots == nil {
+		return true
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) release() {
+	if s.slots != nil {
+		<-s.slots
+	}
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.arrive()
+	defer s.leave()
+	if !s.acquire(r) {
+		return
+	}
+	defer s.release()
 	f := s.begin(r.Header.Get(HeaderRequest))
-	defer s.end()
 	if rand.Float64() < f.HangShare {
 		<-r.Context().Done()
 		return
@@ -135,6 +178,7 @@
 		return
 	}
 	w.Header().Set("X-Served-By", s.Name)
+	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 	w.Header().Set("Content-Type", r.Header.Get("Content-Type"))
 	if r.ContentLength >= 0 {
 		w.Header().Set("Content-Length", fmt.Sprint(r.ContentLength))
@@ -147,6 +191,9 @@
 // work takes the service time. It reports false when the caller went away.
 func (s *Server) work(r *http.Request, f Fault) bool {
 	d := time.Duration(rand.ExpFloat64() * float64(s.ServiceTime))
+	if asked, err := time.ParseDuration(r.Header.Get(HeaderWork)); err == nil {
+		d = asked
+	}
 	if rand.Float64() < s.StragglerShare {
 		d = time.Duration(float64(d) * s.StragglerFactor)
 	}
--- /dev/null
+++ b/standin/demo_command.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"cassiarack.example/standin/backend"
+	"cassiarack.example/standin/fleet"
+	"cassiarack.example/standin/load"
+)
+
+const (
+	demoRate    = 300.0
+	demoTimeout = 2 * time.Second
+	// demoGray is when one backend server turns gray.
+	demoGray = 5 * time.Second
+	demoEnd  = 20 * time.Second
+)
+
+func demoCommand() *ff.Command {
+	fs := ff.NewFlagSet("demo")
+	node := fs.String('n', "node", ".bin/cassiarack-node", "node program")
+	seed := fs.Uint64(0, "seed", 1, "seed of the arrivals")
+	return &ff.Command{
+		Name:  "demo",
+		Usage: "cassiarack-standin demo [FLAGS]",
+		ShortHelp: "run both deployments of the brief at their real sizes, send traffic, " +
+			"make one backend server gray, and show what happens",
+		Flags: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			for _, d := range []fleet.Deployment{fleet.Latvia, fleet.RioGrandeDoSul} {
+				if err := demo(ctx, d, *node, *seed); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// demo runs one deployment. Requests of three kinds go to each service: reads,
+// which are idempotent, and work that must run at most once.
+func demo(ctx context.Context, d fleet.Deployment, node string, seed uint64) error {
+	folder, err := os.MkdirTemp("", "cassiarack-demo-")
+	if err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	f := &fleet.Fleet{Deployment: d, Node: node, Folder: folder}
+	start, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	begin := time.Now()
+	if err := f.Start(start); err != nil {
+		return fmt.Errorf("start %s: %w (logs in %s)", d.Name, err, folder)
+	}
+	fmt.Printf("%s: %d nodes in %d data centres serve after %v; logs in %s\n", d.Name, len(f.VMs),
+		len(d.DataCentres), time.Since(begin).Round(time.Millisecond), folder)
+	gray := f.VMs[len(f.VMs)-1]
+	r := &load.Runner{Fleet: f, Plan: demoPlan(d, gray.Name, seed), Progress: progress}
+	fmt.Printf("%s turns gray after %v: it answers probes, but takes 20 times as long\n", gray.Name, demoGray)
+	report := r.Run(ctx)
+	printReport(report, d, gray.Name)
+	if err := f.Stop(); err != nil {
+		return fmt.Errorf("stop %s: %w", d.Name, err)
+	}
+	if n := report.Violations.Total(); n > 0 {
+		return fmt.Errorf("%s: %d broken promises: %+v", d.Name, n, report.Violations)
+	}
+	fmt.Printf("%s: stopped cleanly\n\n", d.Name)
+	return ctx.Err()
+}
+
+func demoPlan(d fleet.Deployment, gray string, seed uint64) load.Plan {
+	p := load.Plan{
+		Seed:    seed,
+		Phases:  []load.Phase{{Duration: demoEnd, Rate: demoRate}},
+		Timeout: demoTimeout,
+		Events:  []load.Event{{At: demoGray, Instance: gray, Fault: backend.Fault{Slowdown: 20}}},
+	}
+	for _, s := range d.Services {
+		p.Kinds = append(p.Kinds,
+			load.Kind{Name: s.Name + " read", Service: s.Name, Method: "GET", Path: "items", Weight: 8, Idempotent: true},
+			load.Kind{Name: s.Name + " accept", Service: s.Name, Method: "POST", Path: "accept", Weight: 1, Body: 500},
+			load.Kind{Name: s.Name + " keyed", Service: s.Name, Method: "POST", Path: "pay", Weight: 1, Body: 200,
+				Keyed: true})
+	}
+	return p
+}
+
+func progress(elapsed time.Duration, sent, useful int) {
+	fmt.Printf("  %3.0f s: %d requests ended, %d answered in time\n", elapsed.Seconds(), sent, useful)
+}
+
+// printReport shows the outcome and where the requests ran.
+func printReport(r *load.Report, d fleet.Deployment, gray string) {
+	slices.SortFunc(r.Groups, func(a, b *load.Group) int { return len(a.Kind) - len(b.Kind) })
+	fmt.Println("  kind                  sent  useful  late  not run  unknown   p50       p99")
+	for _, g := range r.Groups {
+		fmt.Printf("  %-20s %5d  %6d  %4d  %7d  %7d   %-8v  %v\n", g.Kind, g.Sent, g.Useful, g.Late, g.NotRun, g.Unknown,
+			quantile(g, 50), quantile(g, 99))
+	}
+	service := d.Services[len(d.Services)-1].Name
+	fmt.Printf("  requests answered by each instance of %s, by second:\n", service)
+	for i, s := range r.Seconds {
+		fmt.Printf("  %3d s:", i)
+		for n := range d.Services[len(d.Services)-1].Instances {
+			name := fmt.Sprintf("%s-%02d", service, n+1)
+			mark := " "
+			if name == gray && time.Duration(i)*time.Second >= demoGray {
+				mark = "*"
+			}
+			fmt.Printf(" %4d%s", s.Instances[name], mark)
+		}
+		fmt.Println()
+	}
+	fmt.Printf("  * gray. Broken promises (double runs, false refusals, crossed answers): %d\n", r.Violations.Total())
+}
+
+func quantile(g *load.Group, q float64) time.Duration {
+	return time.Duration(g.Answered.ValueAtQuantile(q)).Round(100 * time.Microsecond)
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -94,7 +94,7 @@
 				DataCentre: f.Deployment.DataCentres[i%len(f.Deployment.DataCentres)],
 				Service:    s,
 			}
-			v.Server = &backend.Server{Name: v.Name, ServiceTime: s.ServiceTime}
+			v.Server = &backend.Server{Name: v.Name, ServiceTime: s.ServiceTime, Slots: s.Slots}
 			var err error
 			if v.Backend, err = f.serve(v.Server.Handler()); err != nil {
 				return err
