--- a/lib/decision/choice/choice.go
+++ b/lib/decision/choice/choice.go
@@ -28,24 +28,37 @@
 
 // Candidate is an instance that may get the request.
 type Candidate struct {
-	Instance string
-	// Local is set when the instance is in the chooser's data centre.
-	Local bool
 	// Weight is the share of the instance between 0 and 1; 0 excludes it.
 	Weight float64
 	// Slots is the number of requests that the instance runs at once.
 	Slots int
+	// Open is the number of slots that the gate last reported, which is below
+	// Slots after a cold start; 0 means not reported.
+	Open int
 	// Outstanding counts the requests that the chooser has at the instance.
 	Outstanding int
-	// Running and Waiting are the last load that the gate reported, at Reported.
-	Running, Waiting int
-	Reported         time.Time
+	// Others counts the requests of other choosers at the instance, as the gate
+	// reported at Reported.
+	Others   int
+	Reported time.Time
+}
+
+// Candidates are the instances of a service.
+type Candidates interface {
+	// Len returns the number of candidates.
+	Len() int
+	// Locals returns how many candidates are in the chooser's data centre. They
+	// are the first ones.
+	Locals() int
+	// At returns candidate i.
+	At(i int) Candidate
 }
 
 // Policy picks one of the candidates.
 type Policy interface {
-	// Pick returns an index into cs, which is never empty.
-	Pick(now time.Time, rng *rand.Rand, cs []Candidate) int
+	// Pick returns an index into cs, or a negative number if no candidate has a
+	// weight.
+	Pick(now time.Time, rng *rand.Rand, cs Candidates) int
 }
 
 // Chooser applies a policy.
@@ -56,16 +69,15 @@
 	Random *rand.Rand
 }
 
-// Choose returns the chosen candidate, or an error of kind KindNone.
-func (c *Chooser[P]) Choose(now time.Time, service string, cs []Candidate) (Candidate, error) {
-	eligible := make([]Candidate, 0, len(cs))
-	for _, x := range cs {
-		if x.Weight > 0 {
-			eligible = append(eligible, x)
-		}
+// Choose returns the index of the chosen candidate, or an error of kind
+// KindNone.
+func (c *Chooser[P]) Choose(now time.Time, service string, cs Candidates) (int, error) {
+	i := -1
+	if cs.Len() > 0 {
+		i = c.Policy.Pick(now, c.Random, cs)
 	}
-	if len(eligible) == 0 {
-		return Candidate{}, &Error{Op: "choose", Kind: KindNone, Service: service}
+	if i < 0 {
+		return 0, &Error{Op: "choose", Kind: KindNone, Service: service}
 	}
-	return eligible[c.Policy.Pick(now, c.Random, eligible)], nil
+	return i, nil
 }
--- /dev/null
+++ b/lib/decision/choice/choice_test.go
@@ -0,0 +1,174 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiarack.example/lib/golden"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// instances is a service whose first locals candidates are local.
+type instances struct {
+	cs     []Candidate
+	locals int
+}
+
+func (l *instances) Len() int           { return len(l.cs) }
+func (l *instances) Locals() int        { return l.locals }
+func (l *instances) At(i int) Candidate { return l.cs[i] }
+
+func equal(n, locals int) *instances {
+	l := &instances{locals: locals}
+	for range n {
+		l.cs = append(l.cs, Candidate{Weight: 1, Slots: 3})
+	}
+	return l
+}
+
+// TestShares guards against a policy that ignores weights, load, locality or a
+// cold start: it shows the share of the choices of each candidate in percent.
+func TestShares(t *testing.T) {
+	cases := []struct {
+		name string
+		l    *instances
+		edit func(cs []Candidate)
+	}{
+		{"equal", equal(4, 0), nil},
+		{"excluded", equal(4, 0), func(cs []Candidate) { cs[1].Weight = 0 }},
+		{"only one with a weight", equal(40, 2), func(cs []Candidate) {
+			for i := range cs {
+				cs[i].Weight = 0
+			}
+			cs[39].Weight = 1.0 / 16
+		}},
+		{"none", equal(3, 1), func(cs []Candidate) { cs[0].Weight, cs[1].Weight, cs[2].Weight = 0, 0, 0 }},
+		{"small weight", equal(4, 0), func(cs []Candidate) { cs[0].Weight = 1.0 / 16 }},
+		{"own data centre at equal load", equal(6, 2), nil},
+		{"own data centre loaded", equal(6, 2), func(cs []Candidate) { cs[0].Outstanding, cs[1].Outstanding = 3, 3 }},
+		{"reported load", equal(4, 0), func(cs []Candidate) { cs[0].Others, cs[0].Reported = 3, epoch }},
+		{"old report", equal(4, 0), func(cs []Candidate) { cs[0].Others, cs[0].Reported = 3, epoch.Add(-time.Second) }},
+		{"cold", equal(4, 0), func(cs []Candidate) { cs[0].Open = 1 }},
+	}
+	var b strings.Builder
+	for _, c := range cases {
+		if c.edit != nil {
+			c.edit(c.l.cs)
+		}
+		fmt.Fprintf(&b, "# %s\n", c.name)
+		shares(&b, "two choices", TwoChoices{}, c.l)
+		shares(&b, "least outstanding", LeastOutstanding{}, c.l)
+		shares(&b, "round robin", &RoundRobin{}, c.l)
+	}
+	golden.Check(t, "shares", b.String())
+}
+
+func shares[P Policy](b *strings.Builder, name string, p P, l *instances) {
+	const n = 20_000
+	ch := Chooser[P]{Policy: p, Random: rand.New(rand.NewPCG(1, 1))}
+	counts := make([]int, l.Len())
+	for range n {
+		i, err := ch.Choose(epoch, "s", l)
+		if err != nil {
+			fmt.Fprintf(b, "%s: %v\n", name, err)
+			return
+		}
+		counts[i]++
+	}
+	fmt.Fprintf(b, "%s:", name)
+	for i, k := range counts {
+		if k > 0 {
+			fmt.Fprintf(b, " %d=%.0f%%", i, 100*float64(k)/n)
+		}
+	}
+	fmt.Fprintln(b)
+}
+
+// TestLengths guards against estimates that are off by a factor, that single
+// stragglers raise, that stay too high for ever, or that grow without bound.
+func TestLengths(t *testing.T) {
+	var b strings.Builder
+	rng := rand.New(rand.NewPCG(1, 1))
+	l := &Lengths{Routes: 2}
+	now := epoch
+	show := func(what, route string) {
+		after, ok := l.HedgeAfter(now, route, time.Second)
+		fmt.Fprintf(&b, "%s: expected %v, p95 %v, hedge after %v %v, routes %d\n", what,
+			l.Expected(now, route).Round(time.Millisecond), l.P95(route).Round(5*time.Millisecond),
+			after.Round(5*time.Millisecond), ok, l.Len())
+	}
+	show("unknown", "a")
+	feed := func(route string, n int, mean, stragglers float64) {
+		for range n {
+			now = now.Add(time.Millisecond)
+			x := mean * rng.ExpFloat64()
+			if rng.Float64() < stragglers {
+				x *= 50
+			}
+			l.Observe(now, route, seconds(x))
+		}
+	}
+	feed("a", 10, 0.01, 0)
+	show("ten of 10 ms", "a")
+	feed("a", 2000, 0.01, 0)
+	show("many of 10 ms", "a")
+	if got := l.P95("a").Seconds(); math.Abs(got/0.030-1) > 0.5 {
+		t.Errorf("p95 %.4f s of an exponential distribution with mean 10 ms, want 0.030 within a half", got)
+	}
+	feed("a", 2000, 0.01, 0.01)
+	show("with stragglers", "a")
+	feed("a", 200, 0.1, 0)
+	show("now 100 ms", "a")
+	now = now.Add(5 * time.Second)
+	show("after 5 s without any", "a")
+	feed("b", 1, 0.01, 0)
+	feed("c", 1, 0.01, 0)
+	show("a third route forgets the oldest", "a")
+	golden.Check(t, "lengths", b.String())
+}
+
+func benchmark[P Policy](b *testing.B, name string, p P) {
+	for _, n := range []int{12, 100, 1000} {
+		b.Run(fmt.Sprint(name, "/", n), func(b *testing.B) {
+			l := equal(n, n/3)
+			rng := rand.New(rand.NewPCG(1, 1))
+			for i := range l.cs {
+				l.cs[i].Outstanding, l.cs[i].Others, l.cs[i].Reported = rng.IntN(4), rng.IntN(4), epoch
+			}
+			ch := Chooser[P]{Policy: p, Random: rng}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := ch.Choose(epoch, "s", l); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkChoose measures one choice.
+func BenchmarkChoose(b *testing.B) {
+	benchmark(b, "two choices", TwoChoices{})
+	benchmark(b, "least outstanding", LeastOutstanding{})
+	benchmark(b, "round robin", &RoundRobin{})
+}
+
+// BenchmarkLengths measures one observation and one look-up with all routes in
+// use.
+func BenchmarkLengths(b *testing.B) {
+	var l Lengths
+	names := make([]string, DefaultRoutes)
+	for i := range names {
+		names[i] = fmt.Sprintf("GET /service-%d/", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		l.Observe(epoch, names[i%len(names)], time.Millisecond)
+		l.Expected(epoch, names[i%len(names)])
+	}
+}
--- a/lib/decision/choice/policies.go
+++ b/lib/decision/choice/policies.go
@@ -5,42 +5,100 @@
 	"time"
 )
 
-// TwoChoices samples two candidates by weight and takes the less loaded.
+const (
+	// reportAge is the time over which a reported load loses its influence.
+	// Queues of a few run times change within it.
+	reportAge = 300 * time.Millisecond
+	// localMargin is how much less loaded, in requests for each slot, an
+	// instance of another data centre must be to be preferred.
+	localMargin = 0.5
+	// draws bounds the random draws before all candidates are looked at.
+	draws = 16
+)
+
+// TwoChoices samples candidates by weight, two of the own data centre and two
+// of all, and takes the less loaded. A candidate of another data centre must be
+// less loaded by a margin.
 type TwoChoices struct{}
 
 // Pick implements Policy.
-func (TwoChoices) Pick(now time.Time, rng *rand.Rand, cs []Candidate) int {
-	a, b := sample(rng, cs), sample(rng, cs)
-	if load(now, cs[b]) < load(now, cs[a]) {
-		return b
+func (TwoChoices) Pick(now time.Time, rng *rand.Rand, cs Candidates) int {
+	local, localLoad := better(now, rng, cs, cs.Locals())
+	if local >= 0 && cs.Locals() == cs.Len() {
+		return local
+	}
+	other, otherLoad := better(now, rng, cs, cs.Len())
+	if local >= 0 && localLoad <= otherLoad+localMargin {
+		return local
 	}
-	return a
+	return other
 }
 
-func sample(rng *rand.Rand, cs []Candidate) int {
+// better samples two of the first n candidates and returns the less loaded
+// one and its load, or a negative index.
+func better(now time.Time, rng *rand.Rand, cs Candidates, n int) (int, float64) {
+	a := sample(rng, cs, n)
+	if a < 0 {
+		return a, 0
+	}
+	b := sample(rng, cs, n)
+	la, lb := load(now, cs.At(a)), load(now, cs.At(b))
+	if lb < la {
+		return b, lb
+	}
+	return a, la
+}
+
+// sample returns one of the first n candidates with a probability in
+// proportion to its weight. It takes O(1) time unless most weights are small.
+func sample(rng *rand.Rand, cs Candidates, n int) int {
+	if n == 0 {
+		return -1
+	}
+	for range draws {
+		i := rng.IntN(n)
+		if rng.Float64() < share(cs.At(i)) {
+			return i
+		}
+	}
 	sum := 0.0
-	for _, c := range cs {
-		sum += c.Weight
+	for i := range n {
+		sum += share(cs.At(i))
 	}
 	x := rng.Float64() * sum
-	for i, c := range cs {
-		if x -= c.Weight; x < 0 {
-			return i
+	last := -1
+	for i := range n {
+		w := share(cs.At(i))
+		if w <= 0 {
+			continue
+		}
+		last = i
+		if x -= w; x < 0 {
+			break
 		}
 	}
-	return len(cs) - 1
+	return last
 }
 
-// reportAge is how long a reported load is taken into account.
-const reportAge = time.Second
+// share returns the weight of a candidate, reduced during a cold start.
+func share(c Candidate) float64 {
+	if c.Open > 0 && c.Open < c.Slots {
+		return c.Weight * float64(c.Open) / float64(c.Slots)
+	}
+	return c.Weight
+}
 
-// load returns the expected load of a candidate relative to its slots.
+// load returns the expected number of requests for each slot of a candidate.
 func load(now time.Time, c Candidate) float64 {
-	n := c.Outstanding
-	if now.Sub(c.Reported) < reportAge {
-		n = max(n, c.Running+c.Waiting)
+	n := float64(c.Outstanding)
+	if age := now.Sub(c.Reported); age < reportAge {
+		n += float64(c.Others) * float64(reportAge-age) / float64(reportAge)
+	}
+	slots := c.Slots
+	if c.Open > 0 {
+		slots = c.Open
 	}
-	return float64(n) / float64(max(c.Slots, 1))
+	return n / float64(max(slots, 1))
 }
 
 // RoundRobin takes the candidates in turn. It is a baseline.
@@ -49,9 +107,14 @@
 }
 
 // Pick implements Policy.
-func (r *RoundRobin) Pick(_ time.Time, _ *rand.Rand, cs []Candidate) int {
-	r.next++
-	return r.next % len(cs)
+func (r *RoundRobin) Pick(_ time.Time, _ *rand.Rand, cs Candidates) int {
+	for range cs.Len() {
+		r.next = (r.next + 1) % cs.Len()
+		if cs.At(r.next).Weight > 0 {
+			return r.next
+		}
+	}
+	return -1
 }
 
 // LeastOutstanding takes the candidate with the fewest requests of the
@@ -59,11 +122,14 @@
 type LeastOutstanding struct{}
 
 // Pick implements Policy.
-func (LeastOutstanding) Pick(_ time.Time, rng *rand.Rand, cs []Candidate) int {
-	best := rng.IntN(len(cs))
-	for i, c := range cs {
-		if c.Outstanding < cs[best].Outstanding {
-			best = i
+func (LeastOutstanding) Pick(_ time.Time, rng *rand.Rand, cs Candidates) int {
+	first := rng.IntN(cs.Len())
+	best, fewest := -1, 0
+	for k := range cs.Len() {
+		i := (first + k) % cs.Len()
+		c := cs.At(i)
+		if c.Weight > 0 && (best < 0 || c.Outstanding < fewest) {
+			best, fewest = i, c.Outstanding
 		}
 	}
 	return best
--- /dev/null
+++ b/lib/decision/crest/model_test.go
@@ -0,0 +1,394 @@
+package crest
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"cassiarack.example/lib/decision/choice"
+	"cassiarack.example/lib/decision/retry"
+	"cassiarack.example/lib/decision/slot"
+)
+
+// event is something that happens at a time of the virtual clock.
+type event struct {
+	at     time.Time
+	number int
+	do     func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].number < e[j].number
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// setup describes a measurement.
+type setup struct {
+	gates, slots, entries int
+	service, link         time.Duration
+	timeout               time.Duration
+	length                time.Duration
+	// rate returns the arrivals a second at a time since the start.
+	rate func(since time.Duration) float64
+	// organisation draws the organisation of an arrival.
+	organisation func(rng *rand.Rand) string
+	// stragglers of the requests run straggle times longer.
+	stragglers, straggle float64
+	// failing makes every run end with an error.
+	failing bool
+	// naive turns off moves, saturation, hedges, patience and budgets; failed
+	// requests are retried twice.
+	naive bool
+	seed  uint64
+}
+
+// call is one request of a caller.
+type call struct {
+	organisation string
+	born         time.Time
+	deadline     time.Time
+	run          time.Duration
+	straggler    bool
+	entry        int
+	moves        int
+	retries      int
+	tried        []int
+	copies       []*attempt
+	done         bool
+	refused      bool
+	answered     time.Time
+}
+
+// attempt is one copy of a call at a gate.
+type attempt struct {
+	call    *call
+	gate    int
+	granted time.Time
+	ended   bool
+	over    bool // reported at the entry
+	hedge   bool
+}
+
+type view struct {
+	outstanding, others, open int
+	reported                  time.Time
+}
+
+type entry[P choice.Policy] struct {
+	chooser        choice.Chooser[P]
+	views          []view
+	lengths        choice.Lengths
+	retries, hedge retry.Budget
+	saturation     retry.Saturation
+}
+
+type gate[Q slot.Queue[*attempt]] struct {
+	slots   slot.Gate[*attempt, Q]
+	lengths choice.Lengths
+}
+
+// model runs one setup with a policy and a kind of queue.
+type model[P choice.Policy, Q slot.Queue[*attempt]] struct {
+	setup
+	rng     *rand.Rand
+	now     time.Time
+	start   time.Time
+	list    events
+	number  int
+	gates   []gate[Q]
+	entries []entry[P]
+	calls   []*call
+	counts  struct{ fresh, attempts, retries, hedges, runs, wasted, peak int }
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newModel[P choice.Policy, Q slot.Queue[*attempt]](s setup, policy func() P, queue func() Q) *model[P, Q] {
+	m := &model[P, Q]{setup: s, rng: rand.New(rand.NewPCG(s.seed, 1)), now: epoch, start: epoch}
+	m.gates, m.entries = make([]gate[Q], s.gates), make([]entry[P], s.entries)
+	for i := range m.gates {
+		m.gates[i].slots = slot.Gate[*attempt, Q]{Slots: s.slots, Queue: queue()}
+	}
+	for i := range m.entries {
+		e := &m.entries[i]
+		e.chooser = choice.Chooser[P]{Policy: policy(), Random: m.rng}
+		e.views = make([]view, s.gates)
+		e.retries.Share, e.hedge.Share = retry.RetryShare, retry.HedgeShare
+	}
+	return m
+}
+
+func (m *model[P, Q]) after(d time.Duration, do func(now time.Time)) {
+	m.number++
+	heap.Push(&m.list, event{at: m.now.Add(d), number: m.number, do: do})
+}
+
+// run performs all events.
+func (m *model[P, Q]) run() {
+	m.after(0, m.arrive)
+	for g := range m.gates {
+		m.after(time.Duration(g)*time.Millisecond, func(now time.Time) { m.tick(now, g) })
+	}
+	for len(m.list) > 0 {
+		e := heap.Pop(&m.list).(event)
+		m.now = e.at
+		e.do(e.at)
+	}
+}
+
+const tick = 10 * time.Millisecond
+
+func (m *model[P, Q]) tick(now time.Time, g int) {
+	m.decide(now, g, m.gates[g].slots.Tick(now))
+	if now.Sub(m.start) < m.length+2*m.timeout {
+		m.after(tick, func(now time.Time) { m.tick(now, g) })
+	}
+}
+
+func (m *model[P, Q]) arrive(now time.Time) {
+	since := now.Sub(m.start)
+	if since >= m.length {
+		return
+	}
+	m.after(time.Duration(m.rng.ExpFloat64()/m.rate(since)*float64(time.Second)), m.arrive)
+	c := &call{born: now, deadline: now.Add(m.timeout), entry: m.rng.IntN(len(m.entries)),
+		run: time.Duration(m.rng.ExpFloat64() * float64(m.service))}
+	if m.rng.Float64() < m.stragglers {
+		c.straggler, c.run = true, time.Duration(float64(c.run)*m.straggle)
+	}
+	if m.organisation != nil {
+		c.organisation = m.organisation(m.rng)
+	}
+	m.calls = append(m.calls, c)
+	m.counts.fresh++
+	e := &m.entries[c.entry]
+	e.retries.Deposit(now)
+	e.hedge.Deposit(now)
+	if !m.naive && e.saturation.Closed(now, c.organisation) > 0 {
+		c.refused = true
+		return
+	}
+	m.offer(now, c, false)
+}
+
+// candidates are the gates as an entry sees them.
+type candidates[P choice.Policy] struct {
+	e     *entry[P]
+	slots int
+	tried []int
+}
+
+func (c candidates[P]) Len() int    { return len(c.e.views) }
+func (c candidates[P]) Locals() int { return 0 }
+func (c candidates[P]) At(i int) choice.Candidate {
+	v := c.e.views[i]
+	w := 1.0
+	for _, t := range c.tried {
+		if t == i {
+			w = 0
+		}
+	}
+	return choice.Candidate{Weight: w, Slots: c.slots, Open: v.open, Outstanding: v.outstanding,
+		Others: v.others, Reported: v.reported}
+}
+
+const route = "GET /s/"
+
+// offer sends a copy of a call to a gate.
+func (m *model[P, Q]) offer(now time.Time, c *call, hedge bool) {
+	e := &m.entries[c.entry]
+	move, more := retry.Next(c.moves, m.setup.gates)
+	if !hedge && !more {
+		m.giveUp(now, c)
+		return
+	}
+	if !hedge && move.Again {
+		c.tried = nil
+	}
+	g, err := e.chooser.Choose(now, "s", candidates[P]{e, m.slots, c.tried})
+	if err != nil {
+		if !hedge {
+			m.giveUp(now, c)
+		}
+		return
+	}
+	c.tried = append(c.tried, g)
+	m.counts.attempts++
+	a := &attempt{call: c, gate: g, hedge: hedge}
+	c.copies = append(c.copies, a)
+	e.views[g].outstanding++
+	expected := e.lengths.Expected(now, route)
+	until := c.deadline
+	switch {
+	case hedge:
+		until = now
+		m.after(retry.HedgeLimit(expected), func(now time.Time) { m.cancel(now, a) })
+	case !m.naive:
+		c.moves++
+		until = now.Add(move.Patience(expected, c.deadline.Sub(now)))
+	}
+	m.after(m.link, func(now time.Time) {
+		m.decide(now, g, m.gates[g].slots.Admit(now, slot.Request[*attempt]{Item: a, Organisation: c.organisation,
+			Expected: expected, Deadline: c.deadline, Until: until}))
+	})
+}
+
+func (m *model[P, Q]) giveUp(now time.Time, c *call) {
+	e := &m.entries[c.entry]
+	if !m.naive {
+		e.saturation.Full(now, m.rng, c.organisation, e.lengths.Expected(now, route))
+	}
+	c.refused = true
+}
+
+// decide carries out the decisions of a gate.
+func (m *model[P, Q]) decide(now time.Time, g int, ds []slot.Decision[*attempt]) {
+	for _, d := range ds {
+		a := d.Item
+		if !d.Granted {
+			a.ended = true
+			running, waiting, open := m.load(now, g)
+			m.after(m.link, func(now time.Time) { m.refusedAt(now, a, running+waiting, open) })
+			continue
+		}
+		m.counts.runs++
+		m.counts.peak = max(m.counts.peak, m.gates[g].slots.Running())
+		a.granted = now
+		run := a.call.run
+		if left := a.call.deadline.Sub(now); run > left {
+			run = max(left, 0)
+			m.counts.wasted++
+		}
+		m.after(run, func(now time.Time) { m.finish(now, a) })
+		m.after(m.link, func(now time.Time) { m.hedge(now, a) })
+	}
+}
+
+func (m *model[P, Q]) load(now time.Time, g int) (running, waiting, open int) {
+	s := &m.gates[g].slots
+	return s.Running(), s.Waiting(), s.Open(now)
+}
+
+// report updates the entry's view of a gate.
+func (m *model[P, Q]) report(now time.Time, a *attempt, load, open int) *entry[P] {
+	e := &m.entries[a.call.entry]
+	if a.over {
+		return e
+	}
+	a.over = true
+	v := &e.views[a.gate]
+	v.outstanding--
+	v.others, v.open, v.reported = max(0, load-v.outstanding), open, now
+	return e
+}
+
+func (m *model[P, Q]) refusedAt(now time.Time, a *attempt, load, open int) {
+	m.report(now, a, load, open)
+	c := a.call
+	if a.hedge || c.done || !now.Before(c.deadline) {
+		return
+	}
+	if m.naive {
+		m.giveUp(now, c)
+		return
+	}
+	m.offer(now, c, false)
+}
+
+// finish frees the slot of a copy.
+func (m *model[P, Q]) finish(now time.Time, a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	g := &m.gates[a.gate]
+	if now.Before(a.call.deadline) {
+		g.lengths.Observe(now, "", now.Sub(a.granted))
+		g.slots.LongBound = slot.LongBound(g.lengths.Expected(now, ""))
+	}
+	m.decide(now, a.gate, g.slots.Release(now, a))
+	running, waiting, open := m.load(now, a.gate)
+	m.after(m.link, func(now time.Time) { m.answer(now, a, running+waiting, open) })
+}
+
+func (m *model[P, Q]) answer(now time.Time, a *attempt, load, open int) {
+	e := m.report(now, a, load, open)
+	c := a.call
+	if c.done || now.After(c.deadline) {
+		return
+	}
+	e.lengths.Observe(now, route, now.Sub(a.granted))
+	if m.failing {
+		m.retry(now, c)
+		return
+	}
+	c.done, c.answered = true, now
+	for _, other := range c.copies {
+		if other != a && !other.ended {
+			m.after(m.link, func(now time.Time) { m.cancel(now, other) })
+		}
+	}
+}
+
+// cancel ends the slower copy of a call.
+func (m *model[P, Q]) cancel(now time.Time, a *attempt) {
+	if a.ended {
+		return
+	}
+	g := &m.gates[a.gate]
+	a.ended = true
+	if !g.slots.Withdraw(a) {
+		m.decide(now, a.gate, g.slots.Release(now, a))
+	}
+	running, waiting, open := m.load(now, a.gate)
+	m.after(m.link, func(now time.Time) { m.report(now, a, running+waiting, open) })
+}
+
+// naiveRetries is how often a naive entry repeats a failed request.
+const naiveRetries = 2
+
+func (m *model[P, Q]) retry(now time.Time, c *call) {
+	e := &m.entries[c.entry]
+	if m.naive {
+		if c.retries == naiveRetries {
+			return
+		}
+	} else if e.saturation.Recent(now) || !e.retries.Withdraw(now) {
+		return
+	}
+	m.counts.retries++
+	m.after(retry.Backoff(m.rng, c.retries), func(now time.Time) {
+		c.tried, c.moves, c.copies = nil, 0, nil
+		m.offer(now, c, false)
+	})
+	c.retries++
+}
+
+// hedge makes a second copy of a call when it is due.
+func (m *model[P, Q]) hedge(now time.Time, a *attempt) {
+	c := a.call
+	e := &m.entries[c.entry]
+	after, ok := e.lengths.HedgeAfter(now, route, c.deadline.Sub(now))
+	if m.naive || a.hedge || !ok {
+		return
+	}
+	m.after(after, func(now time.Time) {
+		if c.done || a.over || e.saturation.Recent(now) || !e.hedge.Withdraw(now) {
+			return
+		}
+		m.counts.hedges++
+		m.offer(now, c, true)
+	})
+}
--- /dev/null
+++ b/lib/decision/retry/retry_test.go
@@ -0,0 +1,125 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiarack.example/lib/golden"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// TestRules guards against budgets, delays and waits that exceed their bounds.
+func TestRules(t *testing.T) {
+	var b strings.Builder
+	for _, rate := range []int{0, 1, 10, 1000} {
+		budget, got := Budget{Share: RetryShare}, 0
+		for i := range 10 * 1000 {
+			now := epoch.Add(ms(i))
+			if rate > 0 && i%(1000/rate) == 0 {
+				budget.Deposit(now)
+			}
+			if budget.Withdraw(now) {
+				got++
+			}
+		}
+		fmt.Fprintf(&b, "budget: %d fresh requests a second for 10 s: %d retries\n", rate, got)
+	}
+	idle := Budget{Share: RetryShare}
+	for i := range 10_000 {
+		idle.Deposit(epoch.Add(ms(i)))
+	}
+	n := 0
+	for idle.Withdraw(epoch.Add(ms(10_000))) {
+		n++
+	}
+	fmt.Fprintf(&b, "budget: %d at once after 10000 fresh requests\n", n)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, k := range []int{0, 1, 5, 40} {
+		var low, high, sum time.Duration = time.Hour, 0, 0
+		for range 10_000 {
+			d := Backoff(rng, k)
+			low, high, sum = min(low, d), max(high, d), sum+d
+		}
+		fmt.Fprintf(&b, "backoff %d: %v to %v, mean %v\n", k, low.Round(time.Millisecond), high.Round(time.Millisecond),
+			(sum / 10_000).Round(time.Millisecond))
+	}
+	for _, c := range []struct{ expected, remaining int }{{0, 1000}, {10, 1000}, {200, 1000}, {200, 300}, {200, 100}} {
+		fmt.Fprintf(&b, "patience: expected %d ms, %d ms left: short %v, long %v\n", c.expected, c.remaining,
+			Move{}.Patience(ms(c.expected), ms(c.remaining)), Move{Long: true}.Patience(ms(c.expected), ms(c.remaining)))
+	}
+	for _, gates := range []int{1, 3, 12, 1000} {
+		fmt.Fprintf(&b, "moves at %d gates:", gates)
+		for n := 0; ; n++ {
+			m, ok := Next(n, gates)
+			if !ok {
+				break
+			}
+			fmt.Fprintf(&b, " %s%s", map[bool]string{false: "short", true: "long"}[m.Long], map[bool]string{true: " again"}[m.Again])
+		}
+		fmt.Fprintln(&b)
+	}
+	golden.Check(t, "rules", b.String())
+}
+
+// TestSaturation guards against an entry that refuses for long, or refuses the
+// requests of other organisations.
+func TestSaturation(t *testing.T) {
+	var b strings.Builder
+	var s Saturation
+	rng := rand.New(rand.NewPCG(1, 1))
+	show := func(at int) {
+		now := epoch.Add(ms(at))
+		fmt.Fprintf(&b, "%d ms: heavy closed %v, light closed %v, recent %v\n", at, s.Closed(now, "heavy") > 0,
+			s.Closed(now, "light") > 0, s.Recent(now))
+	}
+	show(0)
+	if d := s.Full(epoch, rng, "heavy", time.Hour); d >= maxClosed {
+		t.Errorf("closed for %v, want below %v", d, maxClosed)
+	}
+	show(0)
+	show(100)
+	show(1000)
+	for i := range 3 * maxKeys {
+		s.Full(epoch.Add(ms(2000)), rng, fmt.Sprint(i), time.Second)
+	}
+	fmt.Fprintf(&b, "organisations kept: %d\n", len(s.until))
+	golden.Check(t, "saturation", b.String())
+}
+
+// TestInflight guards against a heavy organisation that fills the entry, and
+// against counts that leak.
+func TestInflight(t *testing.T) {
+	var b strings.Builder
+	var f Inflight
+	began := make(map[string]int)
+	begin := func(name string, weight, n int) {
+		got := 0
+		for range n {
+			if f.Begin(name, weight, 10) {
+				got++
+			}
+		}
+		began[name] += got
+		fmt.Fprintf(&b, "%s of weight %d: %d of %d, %d on their way\n", name, weight, got, n, f.total)
+	}
+	begin("heavy", 1, 20)
+	begin("light", 1, 20)
+	begin("weighty", 2, 20)
+	begin("heavy", 1, 1)
+	begin("late", 1, 20)
+	for name, n := range began {
+		for range n + 1 {
+			f.End(name)
+		}
+	}
+	if f.total != 0 || f.weights != 0 || len(f.holders) != 0 {
+		t.Errorf("not empty at the end: %+v", f)
+	}
+	golden.Check(t, "inflight", b.String())
+}
--- a/lib/decision/slot/slot.go
+++ b/lib/decision/slot/slot.go
@@ -1,18 +1,24 @@
 package slot
 
 import (
+	"container/list"
 	"time"
 )
 
 // QueuePerSlot bounds the queue: at most this many requests wait for a slot.
 const QueuePerSlot = 4
 
+// shortMemory is how long the last slot is kept from long requests after a
+// short one arrived. Without short requests, long ones use all slots.
+const shortMemory = time.Second
+
 // Refusal tells why a request did not get a slot.
 type Refusal string
 
 // Refusals.
 const (
 	RefusedFull     Refusal = "full"
+	RefusedShare    Refusal = "share"
 	RefusedDeadline Refusal = "deadline"
 	RefusedWait     Refusal = "queue-wait"
 	RefusedLeaving  Refusal = "leaving"
@@ -24,6 +30,9 @@
 	Item T
 	// Organisation is the customer.
 	Organisation string
+	// Weight is the share of the organisation relative to others; values below
+	// 1 count as 1.
+	Weight int
 	// Expected is the expected run time.
 	Expected time.Duration
 	// Deadline is when the caller gives up.
@@ -43,81 +52,266 @@
 	RetryAfter time.Duration
 }
 
+// Waiter is a request in the queue or in a slot.
+type Waiter[T comparable] struct {
+	Request[T]
+	// Long is set for requests of the long class.
+	Long bool
+
+	number  uint64
+	latest  time.Time
+	flow    *flow[T]
+	place   *list.Element
+	started time.Time
+	due     int
+}
+
+// Queue orders the requests that wait for a slot.
+type Queue[T comparable] interface {
+	// Len returns the number of waiting requests.
+	Len() int
+	// Room returns the largest number of waiting requests.
+	Room(slots int) int
+	// Ahead returns the expected run time of the requests that would start
+	// before w.
+	Ahead(w *Waiter[T]) time.Duration
+	// Push adds a request.
+	Push(w *Waiter[T])
+	// Remove takes out a waiting request.
+	Remove(w *Waiter[T])
+	// Next returns the request to start next, or nil. It passes over long
+	// requests if short is set.
+	Next(short bool) *Waiter[T]
+	// Due returns a request that can no longer be started in time, or nil.
+	Due(now time.Time) *Waiter[T]
+	// Victim returns the waiting request that gives way to w, or nil.
+	Victim(w *Waiter[T]) *Waiter[T]
+	// Heavy reports whether the organisation of w holds more than its share.
+	Heavy(w *Waiter[T]) bool
+	// Started tells that a waiting request gets a slot. Remove follows.
+	Started(w *Waiter[T])
+	// Ended tells that a request no longer holds its slot.
+	Ended(w *Waiter[T])
+}
+
 // Gate owns the slots and the queue of an instance.
-type Gate[T comparable] struct {
+type Gate[T comparable, Q Queue[T]] struct {
 	// Slots is the number of requests that run at once.
 	Slots int
 	// Leaving refuses all new requests.
 	Leaving bool
+	// LongBound divides short from long requests; zero means no classes.
+	LongBound time.Duration
+	// Ramp limits the slots after a cold start.
+	Ramp Ramp
+	// Queue holds the waiting requests.
+	Queue Q
 
-	running int
-	queue   []Request[T]
+	number    uint64
+	waiting   map[T]*Waiter[T]
+	running   map[T]*Waiter[T]
+	young     list.List     // short requests below LongBound, oldest first
+	youngWork time.Duration // sum of their expected run times
+	lastShort time.Time
 }
 
 // Running returns the number of slots in use.
-func (g *Gate[T]) Running() int { return g.running }
+func (g *Gate[T, Q]) Running() int { return len(g.running) }
 
 // Waiting returns the length of the queue.
-func (g *Gate[T]) Waiting() int { return len(g.queue) }
+func (g *Gate[T, Q]) Waiting() int { return len(g.waiting) }
+
+// Open returns the number of slots in force, which is below Slots during the
+// ramp after a cold start.
+func (g *Gate[T, Q]) Open(now time.Time) int { return g.Ramp.Slots(now, g.Slots) }
 
 // Admit takes a request. Its decision is returned now, or by a later call if
-// the request waits.
-func (g *Gate[T]) Admit(now time.Time, r Request[T]) []Decision[T] {
+// the request waits. The decisions may concern other requests too.
+func (g *Gate[T, Q]) Admit(now time.Time, r Request[T]) []Decision[T] {
+	if g.running == nil {
+		g.running, g.waiting = make(map[T]*Waiter[T]), make(map[T]*Waiter[T])
+	}
+	out := g.Tick(now)
+	w := g.waiter(now, r)
+	why := g.refusal(now, w)
+	if why == RefusedFull {
+		if v := g.Queue.Victim(w); v != nil {
+			out, why = append(out, g.drop(v, RefusedShare)), ""
+		}
+	}
+	if why != "" {
+		return append(out, Decision[T]{Item: r.Item, Refusal: g.reason(w, why), RetryAfter: g.retryAfter(why, w)})
+	}
+	g.waiting[r.Item] = w
+	g.Queue.Push(w)
+	return append(out, g.grant(now)...)
+}
+
+func (g *Gate[T, Q]) waiter(now time.Time, r Request[T]) *Waiter[T] {
+	g.number++
+	r.Weight = max(r.Weight, 1)
+	w := &Waiter[T]{Request: r, Long: g.LongBound > 0 && r.Expected >= g.LongBound, number: g.number}
+	w.latest = r.Deadline.Add(-r.Expected)
+	if r.Until.Before(w.latest) {
+		w.latest = r.Until
+	}
+	if !w.Long {
+		g.lastShort = now
+	}
+	return w
+}
+
+// refusal returns why a request can neither start nor wait. A request that
+// cannot meet its deadline is refused before it takes a place.
+func (g *Gate[T, Q]) refusal(now time.Time, w *Waiter[T]) Refusal {
+	wait := g.wait(now, w)
 	switch {
 	case g.Leaving:
-		return refuse(r.Item, RefusedLeaving, 0)
-	case now.Add(r.Expected).After(r.Deadline):
-		return refuse(r.Item, RefusedDeadline, 0)
-	case g.running < g.Slots && len(g.queue) == 0:
-		g.running++
-		return []Decision[T]{{Item: r.Item, Granted: true}}
-	case len(g.queue) >= QueuePerSlot*g.Slots:
-		return refuse(r.Item, RefusedFull, r.Expected)
+		return RefusedLeaving
+	case now.Add(wait + w.Expected).After(w.Deadline):
+		return RefusedDeadline
+	case wait == 0:
+		return ""
+	case now.Add(wait).After(w.Until):
+		return RefusedWait
+	case g.Queue.Len() >= g.Queue.Room(g.Slots):
+		return RefusedFull
+	}
+	return ""
+}
+
+// wait returns the expected time until w starts. The time until the next slot
+// is free is that of memoryless run times.
+func (g *Gate[T, Q]) wait(now time.Time, w *Waiter[T]) time.Duration {
+	open := g.Open(now)
+	// While a slot is free, only long requests wait.
+	if len(g.running) < open && g.mayStart(now, w.Long) && (g.Queue.Len() == 0 || !w.Long) {
+		return 0
+	}
+	ahead := g.Queue.Ahead(w)
+	if ahead < 0 {
+		return 0
 	}
-	g.queue = append(g.queue, r)
-	return nil
+	usable := open - (len(g.running) - g.young.Len())
+	if usable <= 0 || g.young.Len() == 0 {
+		// All slots are held by long requests, whose end cannot be foreseen.
+		return max(g.LongBound, w.Expected)
+	}
+	next := g.youngWork / time.Duration(g.young.Len())
+	return (ahead + next) / time.Duration(usable)
 }
 
-func refuse[T any](item T, why Refusal, after time.Duration) []Decision[T] {
-	return []Decision[T]{{Item: item, Refusal: why, RetryAfter: after}}
+func (g *Gate[T, Q]) reason(w *Waiter[T], why Refusal) Refusal {
+	if (why == RefusedFull || why == RefusedWait) && g.Queue.Heavy(w) {
+		return RefusedShare
+	}
+	return why
 }
 
-// Release returns a slot and decides about waiting requests.
-func (g *Gate[T]) Release(now time.Time) []Decision[T] {
-	g.running--
+func (g *Gate[T, Q]) retryAfter(why Refusal, w *Waiter[T]) time.Duration {
+	if why == RefusedLeaving || why == RefusedDeadline {
+		return 0
+	}
+	return w.Expected
+}
+
+// mayStart reports whether a free slot may go to a request of the class.
+// Requests that run for longer than LongBound, or are expected to, hold at most
+// all slots but one while short requests arrive.
+func (g *Gate[T, Q]) mayStart(now time.Time, long bool) bool {
+	open := g.Open(now)
+	if !long || open < 2 || now.Sub(g.lastShort) >= shortMemory {
+		return true
+	}
+	return len(g.running)-g.young.Len() < open-1
+}
+
+// Release returns the slot of a request and decides about waiting requests.
+// It does nothing for an item that holds no slot.
+func (g *Gate[T, Q]) Release(now time.Time, item T) []Decision[T] {
+	w, ok := g.running[item]
+	if !ok {
+		return nil
+	}
+	delete(g.running, item)
+	g.grow(w)
+	g.Queue.Ended(w)
 	return g.Tick(now)
 }
 
 // Withdraw removes a waiting request and reports whether it was waiting.
-func (g *Gate[T]) Withdraw(item T) bool {
-	for i, r := range g.queue {
-		if r.Item == item {
-			g.queue = append(g.queue[:i], g.queue[i+1:]...)
-			return true
-		}
+func (g *Gate[T, Q]) Withdraw(item T) bool {
+	w, ok := g.waiting[item]
+	if ok {
+		delete(g.waiting, item)
+		g.Queue.Remove(w)
 	}
-	return false
+	return ok
 }
 
 // Tick refuses the requests that waited too long and grants free slots.
-func (g *Gate[T]) Tick(now time.Time) []Decision[T] {
+func (g *Gate[T, Q]) Tick(now time.Time) []Decision[T] {
+	for e := g.young.Front(); e != nil && g.LongBound > 0; e = g.young.Front() {
+		w := e.Value.(*Waiter[T])
+		if now.Sub(w.started) < g.LongBound {
+			break
+		}
+		g.grow(w)
+	}
 	var out []Decision[T]
-	keep := g.queue[:0]
-	for _, r := range g.queue {
-		switch {
-		case g.Leaving:
-			out = append(out, Decision[T]{Item: r.Item, Refusal: RefusedLeaving})
-		case now.Add(r.Expected).After(r.Deadline):
-			out = append(out, Decision[T]{Item: r.Item, Refusal: RefusedDeadline})
-		case g.running < g.Slots:
-			g.running++
-			out = append(out, Decision[T]{Item: r.Item, Granted: true})
-		case !now.Before(r.Until):
-			out = append(out, Decision[T]{Item: r.Item, Refusal: RefusedWait, RetryAfter: r.Expected})
-		default:
-			keep = append(keep, r)
+	for w := g.Queue.Due(now); w != nil; w = g.Queue.Due(now) {
+		why := RefusedWait
+		if now.Before(w.Until) {
+			why = RefusedDeadline
 		}
+		out = append(out, g.drop(w, why))
+	}
+	for w := g.Queue.Next(false); g.Leaving && w != nil; w = g.Queue.Next(false) {
+		out = append(out, g.drop(w, RefusedLeaving))
+	}
+	return append(out, g.grant(now)...)
+}
+
+func (g *Gate[T, Q]) drop(w *Waiter[T], why Refusal) Decision[T] {
+	delete(g.waiting, w.Item)
+	g.Queue.Remove(w)
+	return Decision[T]{Item: w.Item, Refusal: g.reason(w, why), RetryAfter: g.retryAfter(why, w)}
+}
+
+// grant gives the free slots to waiting requests.
+func (g *Gate[T, Q]) grant(now time.Time) []Decision[T] {
+	var out []Decision[T]
+	for len(g.running) < g.Open(now) {
+		w := g.Queue.Next(!g.mayStart(now, true))
+		if w == nil {
+			break
+		}
+		delete(g.waiting, w.Item)
+		g.Queue.Started(w)
+		g.Queue.Remove(w)
+		g.running[w.Item] = w
+		w.started = now
+		if !w.Long {
+			w.place = g.young.PushBack(w)
+			g.youngWork += w.Expected
+		}
+		out = append(out, Decision[T]{Item: w.Item, Granted: true})
 	}
-	g.queue = keep
 	return out
 }
+
+// grow takes a running request out of those below LongBound.
+func (g *Gate[T, Q]) grow(w *Waiter[T]) {
+	if w.place != nil {
+		g.young.Remove(w.place)
+		w.place = nil
+		g.youngWork -= w.Expected
+	}
+}
+
+// longFactor is how many times the usual run time a long request takes. Of
+// exponentially distributed run times 3 in 10,000 exceed it.
+const longFactor = 8
+
+// LongBound returns the bound of the classes for a usual run time.
+func LongBound(usual time.Duration) time.Duration { return longFactor * usual }
--- a/lib/service/front/front.go
+++ b/lib/service/front/front.go
@@ -112,14 +112,16 @@
 		writeFailure(w, failure)
 		return
 	}
+	var up *upload
 	if r.Body != nil && r.Body != http.NoBody {
-		up := newUpload(w, r)
+		up = newUpload(w, r)
 		defer up.stop()
 		req.Body = up.open
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	answer, failure := s.handoff.Do(ctx, req)
+	up.fullDuplex(failure != nil)
 	if failure != nil {
 		writeFailure(w, failure)
 		return
--- a/lib/service/front/upload.go
+++ b/lib/service/front/upload.go
@@ -24,14 +24,21 @@
 
 func newUpload(w http.ResponseWriter, r *http.Request) *upload {
 	ctx, cancel := context.WithCancel(r.Context())
-	control := http.NewResponseController(w)
-	// Without full duplex, net/http discards the rest of the request's body when
-	// the answer begins. HTTP/2 is always full duplex and reports an error.
-	_ = control.EnableFullDuplex()
-	return &upload{control: control, r: r, ctx: ctx, cancel: cancel,
+	return &upload{control: http.NewResponseController(w), r: r, ctx: ctx, cancel: cancel,
 		pieces: ring.New[request.Piece](request.PiecesInFlight)}
 }
 
+// fullDuplex lets the answer begin while the body is read. Without it, net/http
+// discards the rest of the body when the answer begins. It is not used for a
+// refusal before open: net/http panics on the next request of the connection if
+// a handler in full duplex returns without having read the body. HTTP/2 is
+// always full duplex and reports an error.
+func (u *upload) fullDuplex(refused bool) {
+	if u != nil && (!refused || u.done != nil) {
+		_ = u.control.EnableFullDuplex()
+	}
+}
+
 // open starts to read the body. A caller that sent "Expect: 100-continue" is
 // told to continue only then.
 func (u *upload) open() *request.Pieces {
--- a/lib/service/gate/command.go
+++ b/lib/service/gate/command.go
@@ -54,17 +54,11 @@
 		return
 	}
 	if err := s.grants.Open(now, q.attempt); err != nil {
-		a.call.Reply(admitted{err: err, load: d.load()})
+		a.call.Reply(admitted{err: err, load: d.load(now)})
 		return
 	}
 	d.waiting[q.attempt] = a
-	s.settleQueue(now, d, d.slots.Admit(now, slot.Request[handover.Attempt]{
-		Item:         q.attempt,
-		Organisation: q.organisation,
-		Expected:     q.expected,
-		Deadline:     now.Add(q.remaining),
-		Until:        now.Add(q.patience),
-	}))
+	s.settleQueue(now, d, d.slots.Admit(now, s.slotRequest(now, d, q)))
 }
 
 // commit starts the work of a grant.
@@ -104,21 +98,24 @@
 		adm.call.Reply(admitted{reason: request.ReasonCancelled})
 		return
 	}
-	s.settleQueue(now, d, d.slots.Release(now))
+	s.settleQueue(now, d, d.slots.Release(now, c.attempt))
 }
 
 // finish ends committed work and frees its slot.
 type finish struct {
 	instance string
+	attempt  handover.Attempt
 	grant    handover.Grant
+	run      run
 	call     ring.Call[struct{}, *wire.Load]
 }
 
 func (c finish) apply(now time.Time, s *Service) {
 	s.grants.Finish(now, c.grant)
 	d := s.desks[c.instance]
-	s.settleQueue(now, d, d.slots.Release(now))
-	c.call.Reply(d.load())
+	d.observe(now, c.run)
+	s.settleQueue(now, d, d.slots.Release(now, c.attempt))
+	c.call.Reply(d.load(now))
 }
 
 // settle voids an attempt or tells that it was started.
@@ -138,7 +135,7 @@
 	if adm != nil && result == handover.SettledNotRun {
 		delete(d.waiting, c.attempt)
 		if !d.slots.Withdraw(c.attempt) {
-			s.settleQueue(now, d, d.slots.Release(now))
+			s.settleQueue(now, d, d.slots.Release(now, c.attempt))
 		}
 		adm.call.Reply(admitted{reason: request.ReasonGrant})
 	}
--- /dev/null
+++ b/lib/service/gate/desk.go
@@ -0,0 +1,119 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"cassiarack.example/lib/decision/handover"
+	"cassiarack.example/lib/decision/slot"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/wire"
+)
+
+// coldRamp is the time over which the slots of a backend server that started
+// come into force.
+const coldRamp = 5 * time.Second
+
+// cancelHold keeps the slot of work that did not end by itself. The backend
+// server learns of a cancellation when it reads the end of the connection, and
+// would otherwise run more requests than its slots for that moment.
+const cancelHold = 2 * time.Millisecond
+
+// slots is the kind of queue in use.
+type slots = slot.Gate[handover.Attempt, *slot.Fair[handover.Attempt]]
+
+func newDesk() *desk {
+	return &desk{
+		slots:   slots{Queue: slot.NewFair[handover.Attempt]()},
+		waiting: make(map[handover.Attempt]*admission),
+	}
+}
+
+// slotRequest converts an admit. An entry that does not know the route yet gets
+// the usual run time of the instance.
+func (s *Service) slotRequest(now time.Time, d *desk, q admit) slot.Request[handover.Attempt] {
+	expected := q.expected
+	if expected <= 0 {
+		expected = min(d.usual.Expected(now, ""), q.remaining)
+	}
+	weight := 1
+	if c := s.config.Current(); c != nil {
+		weight = c.Organisations[q.organisation]
+	}
+	return slot.Request[handover.Attempt]{
+		Item:         q.attempt,
+		Organisation: q.organisation,
+		Weight:       weight,
+		Expected:     expected,
+		Deadline:     now.Add(q.remaining),
+		Until:        now.Add(q.patience),
+	}
+}
+
+// run is what became of committed work.
+type run struct {
+	took time.Duration
+	// whole is set when the work ended by itself.
+	whole bool
+	// connect is set when the backend server accepted no connection.
+	connect bool
+}
+
+// runOf derives the run from the last message to the entry.
+func runOf(last *wire.Down, took time.Duration) run {
+	return run{
+		took:    took,
+		whole:   last.GetEnd() != nil,
+		connect: last.GetFailed().GetReason() == wire.Reason_REASON_CONNECT,
+	}
+}
+
+// observe learns the usual run time of the instance, which divides short from
+// long requests. A backend server that accepts no connection is about to start:
+// the ramp begins anew with each such failure.
+func (d *desk) observe(now time.Time, r run) {
+	if r.connect {
+		d.slots.Ramp = slot.Ramp{Start: now, Length: coldRamp}
+		return
+	}
+	usual := d.usual.Expected(now, "")
+	if r.took <= 0 || !r.whole && r.took <= usual {
+		return
+	}
+	d.usual.Observe(now, "", r.took)
+	d.slots.LongBound = slot.LongBound(d.usual.Expected(now, ""))
+}
+
+func (d *desk) load(now time.Time) *wire.Load {
+	return &wire.Load{
+		Slots:   uint32(d.slots.Open(now)),
+		Running: uint32(d.slots.Running()),
+		Waiting: uint32(d.slots.Waiting()),
+		Cold:    d.slots.Ramp.Cold(now),
+		Leaving: d.slots.Leaving,
+	}
+}
+
+// publish shows the occupancy of an instance on the metrics page.
+func (s *Service) publish(now time.Time, instance string, d *desk) {
+	if d.open == nil {
+		sub := s.scope.Tagged(map[string]string{"instance": instance})
+		d.open, d.running, d.queued = sub.Gauge("slots"), sub.Gauge("running"), sub.Gauge("waiting")
+	}
+	d.open.Update(float64(d.slots.Open(now)))
+	d.running.Update(float64(d.slots.Running()))
+	d.queued.Update(float64(d.slots.Waiting()))
+}
+
+// giveBack frees the slot of an attempt whose entry went away in the moment of
+// its grant. Work that starts with its grant is committed then, and abandon does
+// not concern it.
+func (x *exchange) giveBack(call ring.Call[admit, admitted]) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), time.Second)
+	defer cancel()
+	// The duty has answered the call or answers it when it performs abandon.
+	adm, err := call.Wait(ctx)
+	if err == nil && adm.failure() == "" && x.reserve.GetCommitNow() {
+		x.finish(adm, run{})
+	}
+}
--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -101,6 +101,7 @@
 	a, err := call.Wait(x.ctx)
 	if err != nil {
 		x.abandon()
+		x.giveBack(call)
 		return admitted{reason: request.ReasonCancelled}
 	}
 	return a
@@ -115,6 +116,7 @@
 
 var refusalReasons = map[slot.Refusal]request.Reason{
 	slot.RefusedFull:     request.ReasonFull,
+	slot.RefusedShare:    request.ReasonShare,
 	slot.RefusedDeadline: request.ReasonDeadline,
 	slot.RefusedWait:     request.ReasonQueueWait,
 	slot.RefusedLeaving:  request.ReasonLeaving,
@@ -194,7 +196,11 @@
 	ctx, span := otel.Tracer(tracerName).Start(x.ctx, "backend server")
 	last := x.call(ctx, adm, head)
 	span.End()
-	load := x.finish(adm)
+	took := time.Since(started)
+	if last.GetEnd() == nil {
+		time.Sleep(cancelHold)
+	}
+	load := x.finish(adm, runOf(last, took))
 	if load != nil {
 		load.ServiceTime = int64(time.Since(started))
 	}
@@ -203,9 +209,9 @@
 	return x.stream.Send(last)
 }
 
-func (x *exchange) finish(adm admitted) *wire.Load {
+func (x *exchange) finish(adm admitted, r run) *wire.Load {
 	call := ring.NewCall[struct{}, *wire.Load](struct{}{})
-	cmd := finish{instance: x.reserve.GetInstance(), grant: adm.grant, call: call}
+	cmd := finish{instance: x.reserve.GetInstance(), attempt: x.attempt, grant: adm.grant, run: r, call: call}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), time.Second)
 	defer cancel()
 	if err := x.s.commands.Put(ctx, cmd); err != nil {
--- a/lib/service/gate/gate.go
+++ b/lib/service/gate/gate.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/decision/handover"
 	"cassiarack.example/lib/decision/slot"
@@ -53,8 +54,11 @@
 // desk is the state of one instance, owned by the duty.
 type desk struct {
 	instance *config.Instance
-	slots    slot.Gate[handover.Attempt]
+	slots    slots
+	usual    choice.Lengths
 	waiting  map[handover.Attempt]*admission
+
+	open, running, queued tally.Gauge
 }
 
 // Bind implements kernel.Service.
@@ -111,7 +115,7 @@
 	}
 	d, ok := s.desks[name]
 	if !ok {
-		d = &desk{waiting: make(map[handover.Attempt]*admission)}
+		d = newDesk()
 		s.desks[name] = d
 	}
 	d.instance = i
@@ -127,6 +131,7 @@
 	for name, d := range s.desks {
 		s.desk(name)
 		s.settleQueue(now, d, d.slots.Tick(now))
+		s.publish(now, name, d)
 	}
 }
 
@@ -136,7 +141,7 @@
 		if adm, ok := d.waiting[a]; ok {
 			delete(d.waiting, a)
 			adm.expired = true
-			s.settleQueue(now, d, d.slots.Release(now))
+			s.settleQueue(now, d, d.slots.Release(now, a))
 			return
 		}
 	}
@@ -154,29 +159,20 @@
 		if !next.Granted {
 			s.grants.Void(now, next.Item)
 			delete(d.waiting, next.Item)
-			adm.call.Reply(admitted{refusal: next.Refusal, retryAfter: next.RetryAfter, load: d.load()})
+			adm.call.Reply(admitted{refusal: next.Refusal, retryAfter: next.RetryAfter, load: d.load(now)})
 			continue
 		}
 		grant, err := s.grants.Reserve(now, next.Item)
 		if err != nil {
 			delete(d.waiting, next.Item)
-			adm.call.Reply(admitted{err: err, load: d.load()})
-			ds = append(ds, d.slots.Release(now)...)
+			adm.call.Reply(admitted{err: err, load: d.load(now)})
+			ds = append(ds, d.slots.Release(now, next.Item)...)
 			continue
 		}
 		if adm.call.Query.commitNow {
 			err = s.grants.Commit(now, grant)
 			delete(d.waiting, next.Item)
 		}
-		adm.call.Reply(admitted{instance: d.instance, grant: grant, err: err, load: d.load()})
-	}
-}
-
-func (d *desk) load() *wire.Load {
-	return &wire.Load{
-		Slots:   uint32(d.slots.Slots),
-		Running: uint32(d.slots.Running()),
-		Waiting: uint32(d.slots.Waiting()),
-		Leaving: d.slots.Leaving,
+		adm.call.Reply(admitted{instance: d.instance, grant: grant, err: err, load: d.load(now)})
 	}
 }
--- a/lib/service/handoff/attempt.go
+++ b/lib/service/handoff/attempt.go
@@ -38,12 +38,13 @@
 	load   *router.Load
 	// sender is closed when the goroutine that sends the body ended.
 	sender chan struct{}
+
+	pacing
 }
 
-// attempt hands the request to the gate of inst. The router gets its report
-// when the attempt ends.
-func (s *Service) attempt(ctx context.Context, req *request.Request, rt route.Route, inst *config.Instance,
-	body *replay) (*request.Answer, *request.Failure) {
+// newAttempt prepares to hand the request to the gate of inst.
+func (s *Service) newAttempt(ctx context.Context, req *request.Request, rt route.Route, inst *config.Instance,
+	body *replay) *attempt {
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt",
 		trace.WithAttributes(attribute.String("instance", inst.Name)))
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
@@ -51,6 +52,11 @@
 		downs: ring.New[*wire.Down](request.PiecesInFlight)}
 	// crypto/rand.Read never fails.
 	_, _ = rand.Read(a.id[:])
+	return a
+}
+
+// do performs the attempt. The router gets its report when the attempt ends.
+func (a *attempt) do() (*request.Answer, *request.Failure) {
 	answer, failure := a.run()
 	if failure != nil {
 		a.close()
@@ -66,7 +72,7 @@
 		<-a.sender
 	}
 	a.span.End()
-	report := router.Report{Instance: a.inst.Name, Load: a.load}
+	report := a.report()
 	if err := a.s.router.Report(context.WithoutCancel(a.ctx), report); err != nil {
 		a.s.Log.Debug("Report not recorded.", "err", err)
 	}
@@ -87,6 +93,7 @@
 		}
 	}
 	a.sendBody()
+	a.start()
 	return a.awaitHead(grant)
 }
 
@@ -106,7 +113,8 @@
 		Organisation: a.req.Organisation,
 		Route:        a.route.Name(a.req.Method),
 		Remaining:    int64(time.Until(a.req.Deadline)),
-		Patience:     int64(patience),
+		Patience:     int64(a.patience),
+		Expected:     int64(a.expected),
 		Idempotent:   a.route.Idempotent,
 		CommitNow:    a.route.Idempotent,
 		TraceParent:  carrier["traceparent"],
@@ -164,7 +172,7 @@
 
 // awaitReserved waits for the grant.
 func (a *attempt) awaitReserved() (*wire.Grant, *request.Failure) {
-	ctx, cancel := context.WithTimeout(a.ctx, patience+reserveTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, a.patience+reserveTimeout)
 	defer cancel()
 	down, err := a.downs.Take(ctx)
 	switch {
@@ -190,7 +198,9 @@
 
 func (a *attempt) note(d *wire.Down) {
 	if l := d.GetLoad(); l != nil {
-		a.load = &router.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting())}
+		a.load = &router.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Open: int(l.GetSlots()),
+			Leaving: l.GetLeaving()}
+		a.ran = time.Duration(l.GetServiceTime())
 	}
 }
 
@@ -292,6 +302,7 @@
 	case down.GetChunk() != nil:
 		return request.Piece{Data: down.GetChunk().GetData()}
 	case down.GetEnd() != nil:
+		a.whole = true
 		return request.Piece{End: true, Trailers: wire.FromFields(down.GetEnd().GetTrailers())}
 	default:
 		return request.Piece{Err: fmt.Errorf("answer of %s: %s", a.inst.Name, down.GetFailed().GetDetail())}
--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -19,17 +18,11 @@
 )
 
 const (
-	// maxAttempts bounds the instances that one request is offered to.
-	maxAttempts = 4
-	// patience is the longest wait in the queue of one gate.
-	patience = 100 * time.Millisecond
 	// reserveTimeout bounds the wait for the answer to a reserve beyond the
 	// patience.
 	reserveTimeout = 400 * time.Millisecond
 	// settleTimeout bounds the wait for a settlement.
 	settleTimeout = time.Second
-	// retryBase is the mean delay before the second attempt.
-	retryBase = 5 * time.Millisecond
 )
 
 // Service hands requests over.
@@ -79,27 +72,16 @@
 	if err != nil {
 		return nil, notRun(request.ReasonNoRoute, err.Error())
 	}
-	b := newReplay(req.Body)
-	var tried []string
-	var last *request.Failure
-	for n := 0; n < maxAttempts; n++ {
-		inst, err := s.router.Choose(ctx, router.Query{Service: rt.Service, Exclude: tried})
-		if err != nil {
-			return nil, s.noInstance(last, err)
-		}
-		tried = append(tried, inst.Name)
-		answer, failure := s.attempt(ctx, req, rt, inst, b)
-		if failure == nil {
-			s.scope.Counter("answered").Inc(1)
-			return answer, nil
-		}
-		last = combine(last, failure)
-		if !mayRetry(failure, rt.Idempotent, b) || !sleep(ctx, n) {
-			break
-		}
+	j := &journey{s: s, req: req, route: rt, body: newReplay(req.Body),
+		weight: conf.Organisations[req.Organisation]}
+	answer, failure := j.run(ctx)
+	if failure != nil {
+		s.scope.Tagged(map[string]string{"outcome": string(failure.Outcome), "reason": string(failure.Reason)}).
+			Counter("failed").Inc(1)
+		return nil, failure
 	}
-	s.scope.Tagged(map[string]string{"outcome": string(last.Outcome)}).Counter("failed").Inc(1)
-	return nil, last
+	s.scope.Counter("answered").Inc(1)
+	return answer, nil
 }
 
 func notRun(r request.Reason, detail string) *request.Failure {
@@ -126,25 +108,16 @@
 
 // mayRetry reports whether another instance may be tried: the work did not run
 // or is idempotent, and its body can be sent again.
-func mayRetry(f *request.Failure, idempotent bool, b *replay) bool {
+func mayRetry(f *request.Failure, idempotent bool, b *replay, timeLeft bool) bool {
 	if f.Outcome != request.NotRun && !idempotent {
 		return false
 	}
-	if f.Reason == request.ReasonCancelled || f.Reason == request.ReasonDeadline || f.Reason == request.ReasonBody {
+	// A gate refuses a request that it cannot start in time; another one may.
+	if f.Reason == request.ReasonDeadline && (f.Outcome != request.NotRun || !timeLeft) {
 		return false
 	}
-	return b.replayable()
-}
-
-// sleep waits before attempt n+1 with full jitter. It reports false when the
-// caller's time is over.
-func sleep(ctx context.Context, n int) bool {
-	t := time.NewTimer(rand.N(retryBase << n))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
+	if f.Reason == request.ReasonCancelled || f.Reason == request.ReasonBody {
 		return false
 	}
+	return b.replayable()
 }
--- /dev/null
+++ b/lib/service/handoff/moves.go
@@ -0,0 +1,169 @@
+package handoff
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/retry"
+	"cassiarack.example/lib/decision/route"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/service/router"
+)
+
+// journey is one request on its way from gate to gate. It is used by the
+// goroutine of the caller.
+type journey struct {
+	s     *Service
+	req   *request.Request
+	route route.Route
+	body  *replay
+	terms router.Terms
+	// weight is the share of the organisation.
+	weight int
+
+	gates   int // instances that are not leaving
+	moves   int
+	retries int
+	// tried holds the instances that the next move passes over, and failed those
+	// of them that are not tried again.
+	tried  []string
+	failed []string
+}
+
+// fresh identifies the request to the router's budgets.
+func (j *journey) fresh() router.Fresh {
+	return router.Fresh{Service: j.route.Service, Route: j.route.Name(j.req.Method),
+		Organisation: j.req.Organisation, Weight: j.weight, Remaining: time.Until(j.req.Deadline)}
+}
+
+// run offers the request to one gate after the other.
+func (j *journey) run(ctx context.Context) (*request.Answer, *request.Failure) {
+	var err error
+	if j.terms, err = j.s.router.Begin(ctx, j.fresh()); err != nil {
+		return nil, notRun(request.ReasonOverload, err.Error())
+	}
+	if !j.terms.Allowed {
+		j.s.scope.Counter("refused_at_entry").Inc(1)
+		f := notRun(request.ReasonFull, "all gates of the service were full a moment ago")
+		f.RetryAfter = j.terms.Delay
+		return nil, f
+	}
+	defer func() {
+		if err := j.s.router.End(context.WithoutCancel(ctx), j.fresh()); err != nil {
+			j.s.Log.Debug("End not recorded.", "err", err)
+		}
+	}()
+	j.gates = len(j.route.Service.Instances) - j.route.Service.Leaving()
+	var last *request.Failure
+	for {
+		move, ok := retry.Next(j.moves, j.gates)
+		if !ok {
+			return nil, j.end(ctx, j.s.noInstance(last, errNoGate))
+		}
+		inst, err := j.choose(ctx, move)
+		if err != nil {
+			return nil, j.end(ctx, j.s.noInstance(last, err))
+		}
+		answer, failure := j.attempt(ctx, inst, move)
+		if failure == nil {
+			return answer, nil
+		}
+		last = combine(last, failure)
+		if !fullReasons[failure.Reason] {
+			j.failed = append(j.failed, inst.Name)
+		}
+		if !j.goOn(ctx, failure) {
+			return nil, j.end(ctx, last)
+		}
+	}
+}
+
+var errNoGate = errors.New("all gates were tried")
+
+// choose returns the instance for a move.
+func (j *journey) choose(ctx context.Context, m retry.Move) (*config.Instance, error) {
+	if m.Again {
+		j.tried = slices.Clone(j.failed)
+	}
+	j.moves++
+	inst, err := j.s.router.Choose(ctx, router.Query{Service: j.route.Service, Exclude: j.tried})
+	if err != nil && len(j.tried) > len(j.failed) {
+		// The number of gates includes instances that get no work, such as ejected
+		// ones, so that the others may all have been tried before.
+		j.tried = slices.Clone(j.failed)
+		inst, err = j.s.router.Choose(ctx, router.Query{Service: j.route.Service, Exclude: j.tried})
+	}
+	if err == nil {
+		j.tried = append(j.tried, inst.Name)
+	}
+	return inst, err
+}
+
+// attempt hands the request to the gate of inst, with a hedge if one may be due.
+func (j *journey) attempt(ctx context.Context, inst *config.Instance, m retry.Move) (*request.Answer, *request.Failure) {
+	a := j.newAttempt(ctx, inst)
+	a.patience = m.Patience(j.terms.Expected, time.Until(j.req.Deadline))
+	if !j.mayHedge() {
+		return a.do()
+	}
+	return j.hedged(ctx, a)
+}
+
+func (j *journey) newAttempt(ctx context.Context, inst *config.Instance) *attempt {
+	a := j.s.newAttempt(ctx, j.req, j.route, inst, j.body)
+	a.expected, a.begun = j.terms.Expected, make(chan struct{})
+	return a
+}
+
+// goOn reports whether another gate is to be tried. A refusal took no capacity,
+// so that the request moves on; a failure draws on the retry budget.
+func (j *journey) goOn(ctx context.Context, f *request.Failure) bool {
+	if !mayRetry(f, j.route.Idempotent, j.body, j.timeLeft()) || ctx.Err() != nil {
+		return false
+	}
+	if f.Outcome == request.NotRun && f.Reason != request.ReasonBackendShed {
+		j.s.scope.Counter("moves").Inc(1)
+		return true
+	}
+	t, err := j.s.router.Retry(ctx, j.fresh(), j.retries)
+	if err != nil || !t.Allowed {
+		j.s.scope.Counter("retries_denied").Inc(1)
+		return false
+	}
+	j.s.scope.Counter("retries").Inc(1)
+	j.retries++
+	return sleep(ctx, t.Delay)
+}
+
+// timeLeft reports whether the time left allows a run of the expected length.
+func (j *journey) timeLeft() bool { return time.Until(j.req.Deadline) > j.terms.Expected }
+
+// fullReasons are the refusals of gates that have no capacity left.
+var fullReasons = map[request.Reason]bool{request.ReasonFull: true, request.ReasonShare: true,
+	request.ReasonQueueWait: true, request.ReasonOverload: true}
+
+// end returns the failure that the caller is told after the last attempt.
+func (j *journey) end(ctx context.Context, f *request.Failure) *request.Failure {
+	if fullReasons[f.Reason] {
+		t, err := j.s.router.Full(context.WithoutCancel(ctx), j.fresh())
+		if err == nil {
+			f.RetryAfter = max(f.RetryAfter, t.Delay)
+		}
+	}
+	return f
+}
+
+// sleep waits before a retry. It reports false when the caller's time is over.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/lib/service/handoff/replay.go
+++ b/lib/service/handoff/replay.go
@@ -48,3 +48,18 @@
 	}
 	return p, nil
 }
+
+// whole reports whether the body needs no more reading: there is none, or all of
+// it is kept and the goroutine that read it, which closes sender, ended. Two
+// attempts may then send it at once.
+func (r *replay) whole(sender <-chan struct{}) bool {
+	if r.empty() {
+		return true
+	}
+	select {
+	case <-sender:
+	default:
+		return false
+	}
+	return !r.lost && len(r.kept) > 0 && r.kept[len(r.kept)-1].End
+}
--- /dev/null
+++ b/lib/service/router/candidates.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"cassiarack.example/lib/decision/choice"
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/retry"
+)
+
+// leavingMemory is how long a gate's report that its instance takes no new work
+// excludes the instance.
+const leavingMemory = time.Second
+
+// serviceState is what the duty keeps for each service.
+type serviceState struct {
+	// service tells when a new configuration came into force.
+	service *config.Service
+	// instances has those of the own data centre first.
+	instances []*config.Instance
+	locals    int
+
+	retries, hedges retry.Budget
+	saturation      retry.Saturation
+	inflight        retry.Inflight
+}
+
+// service returns the state of a service, with its instances in order.
+func (s *Service[P]) service(svc *config.Service) *serviceState {
+	st, ok := s.services[svc.Name]
+	if !ok {
+		st = &serviceState{
+			retries: retry.Budget{Share: retry.RetryShare},
+			hedges:  retry.Budget{Share: retry.HedgeShare},
+		}
+		s.services[svc.Name] = st
+	}
+	if st.service != svc {
+		st.service = svc
+		st.instances, st.locals = s.localFirst(svc.Instances)
+	}
+	return st
+}
+
+func (s *Service[P]) localFirst(all []*config.Instance) ([]*config.Instance, int) {
+	var local, remote []*config.Instance
+	for _, i := range all {
+		if i.VM.DataCentre == s.DataCentre {
+			local = append(local, i)
+		} else {
+			remote = append(remote, i)
+		}
+	}
+	return append(local, remote...), len(local)
+}
+
+// candidates presents the instances of a service to the policy.
+type candidates[P choice.Policy] struct {
+	s       *Service[P]
+	now     time.Time
+	of      *serviceState
+	exclude []string
+}
+
+// Len implements choice.Candidates.
+func (c *candidates[P]) Len() int { return len(c.of.instances) }
+
+// Locals implements choice.Candidates.
+func (c *candidates[P]) Locals() int { return c.of.locals }
+
+// At implements choice.Candidates.
+func (c *candidates[P]) At(i int) choice.Candidate {
+	inst := c.of.instances[i]
+	x := c.s.candidate(c.now, inst)
+	if slices.Contains(c.exclude, inst.Name) {
+		x.Weight = 0
+	}
+	return x
+}
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"cassiarack.example/lib/decision/choice"
@@ -18,6 +17,10 @@
 // ringSize bounds the questions and reports that wait for the duty.
 const ringSize = 4096
 
+// undoTimeout bounds the wait for the answer to a choice that is not needed any
+// more. The duty answers within microseconds unless it is stopping.
+const undoTimeout = time.Second
+
 // Query asks for an instance.
 type Query struct {
 	Service *config.Service
@@ -28,6 +31,10 @@
 // Load is the occupancy that a gate reported.
 type Load struct {
 	Running, Waiting int
+	// Open is the number of slots in force.
+	Open int
+	// Leaving is set when the instance takes no new work.
+	Leaving bool
 }
 
 // Report tells the end of an attempt at an instance.
@@ -35,6 +42,11 @@
 	Instance string
 	// Load is the last load of the gate, if one was reported.
 	Load *Load
+	// Route and Ran are the route and the run time of a request that ran.
+	Route string
+	Ran   time.Duration
+	// Cut is set when the run was ended early, so that Ran is a lower bound.
+	Cut bool
 }
 
 // chosen is the answer to a Query.
@@ -47,6 +59,7 @@
 type command struct {
 	choose *ring.Call[Query, chosen]
 	report *Report
+	budget *ring.Call[budgetQuery, Terms]
 }
 
 // Service chooses instances with policy P.
@@ -61,11 +74,14 @@
 	commands *ring.Ring[command]
 	chooser  choice.Chooser[P]
 	picture  map[string]*picture
+	lengths  choice.Lengths
+	services map[string]*serviceState
 }
 
 // picture is what the node knows about the load of an instance.
 type picture struct {
 	outstanding int
+	others      int
 	load        Load
 	reported    time.Time
 }
@@ -76,6 +92,7 @@
 	Choose(ctx context.Context, q Query) (*config.Instance, error)
 	// Report tells the end of an attempt.
 	Report(ctx context.Context, r Report) error
+	Budgets
 }
 
 // Bind implements kernel.Service.
@@ -83,6 +100,7 @@
 	s.commands = ring.New[command](ringSize)
 	s.chooser = choice.Chooser[P]{Policy: s.Policy, Random: s.Random}
 	s.picture = make(map[string]*picture)
+	s.services = make(map[string]*serviceState)
 	return nil
 }
 
@@ -94,11 +112,23 @@
 	}
 	c, err := call.Wait(ctx)
 	if err != nil {
+		s.undo(ctx, call)
 		return nil, err
 	}
 	return c.instance, c.err
 }
 
+// undo reports a choice whose caller went away before it was made, as each
+// choice counts a request at its instance.
+func (s *Service[P]) undo(ctx context.Context, call ring.Call[Query, chosen]) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), undoTimeout)
+	defer cancel()
+	if c, err := call.Wait(ctx); err == nil && c.instance != nil {
+		// An error means that the duty stopped.
+		_ = s.Report(ctx, Report{Instance: c.instance.Name})
+	}
+}
+
 // Report implements Router.
 func (s *Service[P]) Report(ctx context.Context, r Report) error {
 	return s.commands.Put(ctx, command{report: &r})
@@ -116,39 +146,36 @@
 		c.choose.Reply(s.choose(now, c.choose.Query))
 	case c.report != nil:
 		s.record(now, *c.report)
+	case c.budget != nil:
+		c.budget.Reply(s.answer(now, c.budget.Query))
 	}
 }
 
 func (s *Service[P]) choose(now time.Time, q Query) chosen {
-	cs := make([]choice.Candidate, 0, len(q.Service.Instances))
-	byName := make(map[string]*config.Instance, len(q.Service.Instances))
-	for _, i := range q.Service.Instances {
-		if i.Leaving || slices.Contains(q.Exclude, i.Name) {
-			continue
-		}
-		byName[i.Name] = i
-		cs = append(cs, s.candidate(i))
-	}
-	c, err := s.chooser.Choose(now, q.Service.Name, cs)
+	cs := &candidates[P]{s: s, now: now, of: s.service(q.Service), exclude: q.Exclude}
+	i, err := s.chooser.Choose(now, q.Service.Name, cs)
 	if err != nil {
 		return chosen{err: err}
 	}
-	s.of(c.Instance).outstanding++
-	return chosen{instance: byName[c.Instance]}
+	inst := cs.of.instances[i]
+	s.of(inst.Name).outstanding++
+	return chosen{instance: inst}
 }
 
-func (s *Service[P]) candidate(i *config.Instance) choice.Candidate {
+func (s *Service[P]) candidate(now time.Time, i *config.Instance) choice.Candidate {
 	p := s.of(i.Name)
-	return choice.Candidate{
-		Instance:    i.Name,
-		Local:       i.VM.DataCentre == s.DataCentre,
+	c := choice.Candidate{
 		Weight:      1,
 		Slots:       i.Service.Slots,
+		Open:        p.load.Open,
 		Outstanding: p.outstanding,
-		Running:     p.load.Running,
-		Waiting:     p.load.Waiting,
+		Others:      p.others,
 		Reported:    p.reported,
 	}
+	if i.Leaving || p.load.Leaving && now.Sub(p.reported) < leavingMemory {
+		c.Weight = 0
+	}
+	return c
 }
 
 func (s *Service[P]) record(now time.Time, r Report) {
@@ -156,7 +183,9 @@
 	p.outstanding--
 	if r.Load != nil {
 		p.load, p.reported = *r.Load, now
+		p.others = max(0, r.Load.Running+r.Load.Waiting-p.outstanding)
 	}
+	s.observe(now, r)
 }
 
 func (s *Service[P]) of(instance string) *picture {
--- /dev/null
+++ b/standin/proof/crest_test.go
@@ -0,0 +1,234 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/standin/backend"
+	"cassiarack.example/standin/fleet"
+)
+
+// stateTimeout bounds the wait for a state of the fleet.
+const stateTimeout = time.Minute
+
+// told is what a caller was told about a request.
+type told struct {
+	id      string
+	outcome string
+	reason  string
+	took    time.Duration
+}
+
+// ask sends a request and reads its answer. An answer that is not whole, not the
+// caller's own, or not a refusal is an error.
+func ask(ctx context.Context, client *http.Client, method, url, id, timeout string) (told, error) {
+	body := []byte("body of " + id)
+	if method == http.MethodGet {
+		body = nil
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return told{}, err
+	}
+	req.Header.Set(backend.HeaderRequest, id)
+	req.Header.Set("Cassiarack-Timeout", timeout)
+	began := time.Now()
+	res, err := client.Do(req)
+	if err != nil {
+		return told{}, err
+	}
+	defer res.Body.Close()
+	got, err := io.ReadAll(res.Body)
+	if err != nil {
+		return told{}, fmt.Errorf("request %s: %w", id, err)
+	}
+	out := told{id: id, outcome: res.Header.Get("Cassiarack-Outcome"), took: time.Since(began)}
+	if out.outcome == "complete" {
+		if res.StatusCode != http.StatusOK || !bytes.Equal(got, body) || res.Header.Get(backend.HeaderRequest) != id {
+			return told{}, fmt.Errorf("request %s: status %d, answer %q of %q", id, res.StatusCode, got,
+				res.Header.Get(backend.HeaderRequest))
+		}
+		return out, nil
+	}
+	var problem struct{ Reason string }
+	if err := json.Unmarshal(got, &problem); err != nil {
+		return told{}, fmt.Errorf("request %s: %w: %q", id, err, got)
+	}
+	out.reason = problem.Reason
+	return out, nil
+}
+
+// askAll sends n requests at once, spread over the entries.
+func askAll(t *testing.T, f *fleet.Fleet, client *http.Client, n int, name, timeout string) []told {
+	t.Helper()
+	out := make([]told, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			entry := f.VMs[i%len(f.VMs)]
+			url := fmt.Sprintf("http://%v/orders/accept", entry.Callers)
+			var err error
+			if out[i], err = ask(t.Context(), client, http.MethodPost, url, fmt.Sprintf("%s-%d", name, i), timeout); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// TestBurst guards against false refusals, overrun slots and a fleet that stays
+// down after a burst far above its capacity.
+func TestBurst(t *testing.T) {
+	is := is.New(t)
+	const slots, requests = 3, 1200
+	d := fleet.Deployment{
+		Name: "burst", Region: "north", DataCentres: []string{"north-1", "north-2", "north-3"},
+		Services: []fleet.Service{{Name: "orders", Instances: 3, Slots: slots, Connections: 400,
+			ServiceTime: 20 * time.Millisecond}},
+	}
+	f := start(t, d, "")
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: requests}}
+	defer client.CloseIdleConnections()
+	all := askAll(t, f, client, requests, "burst", "1m")
+	runs := executions(f)
+	answered, refused := 0, []time.Duration{}
+	reasons := make(map[string]int)
+	for _, c := range all {
+		switch {
+		case c.outcome == "complete" && runs[c.id] == 1:
+			answered++
+		case c.outcome == "not-run" && runs[c.id] == 0:
+			refused = append(refused, c.took)
+			reasons[c.reason]++
+		default:
+			t.Errorf("request %s: told %q (%s), ran %d times", c.id, c.outcome, c.reason, runs[c.id])
+		}
+	}
+	for _, v := range f.VMs {
+		if p := v.Server.Peak(); p > slots {
+			t.Errorf("%s ran %d requests at once on %d slots", v.Name, p, slots)
+		}
+	}
+	is.True(answered > 0)     // the burst must be served as far as capacity allows
+	is.True(len(refused) > 0) // the burst must exceed the capacity
+	slices.Sort(refused)
+	t.Logf("%d answered, %d refused %v, refusals p50 %v p99 %v", answered, len(refused), reasons,
+		refused[len(refused)/2], refused[len(refused)*99/100])
+	// The refusals must not wait for the deadline of a minute.
+	is.True(refused[len(refused)-1] < stateTimeout/2)
+	served(t, f, client)
+}
+
+// served waits until each entry serves, and checks that load below the capacity
+// is then served without refusals.
+func served(t *testing.T, f *fleet.Fleet, client *http.Client) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), stateTimeout)
+	defer cancel()
+	began, refusals := time.Now(), 0
+	for _, v := range f.VMs {
+		for n := 0; ; n++ {
+			url := fmt.Sprintf("http://%v/orders/accept", v.Callers)
+			c, err := ask(ctx, client, http.MethodPost, url, fmt.Sprintf("after-%s-%d", v.Name, n), "1m")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.outcome == "complete" {
+				break
+			}
+			refusals++
+		}
+	}
+	t.Logf("all entries serve %v after the burst, %d refusals", time.Since(began), refusals)
+	for round := range 20 {
+		for _, c := range askAll(t, f, client, len(f.VMs), fmt.Sprint("normal-", round), "1m") {
+			if c.outcome != "complete" {
+				t.Errorf("request %s: %s (%s) below capacity", c.id, c.outcome, c.reason)
+			}
+		}
+	}
+}
+
+// TestHedge guards against hedges that deliver the slower copy, keep its slot or
+// run non-idempotent work twice: one of three backend servers answers nothing.
+func TestHedge(t *testing.T) {
+	is := is.New(t)
+	f := start(t, small, "")
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	entry := f.VMs[0]
+	get := func(id string) told {
+		c, err := ask(t.Context(), client, http.MethodGet, fmt.Sprintf("http://%v/orders/list", entry.Callers), id, "10s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	silent := f.VMs[0]
+	hedged := 0
+	for round := 0; hedged < 3; round++ {
+		// The entry learns the usual run time and fills its budget.
+		silent.Server.SetFault(backend.Fault{})
+		for i := range 100 {
+			is.Equal(get(fmt.Sprintf("warm-%d-%d", round, i)).outcome, "complete")
+		}
+		silent.Server.SetFault(backend.Fault{HangShare: 1})
+		id := fmt.Sprint("hedged-", round)
+		c := get(id)
+		runs := executions(f)[id]
+		t.Logf("%s: %s, %s, ran %d times", id, c.outcome, c.reason, runs)
+		switch {
+		case c.outcome == "complete":
+			is.True(runs == 1 || runs == 2)
+			hedged += runs - 1
+		case c.outcome == "unknown" && c.reason == "deadline":
+			// The hedge had no budget, or a busy machine cut it.
+		default:
+			t.Errorf("%s: %s, %s", id, c.outcome, c.reason)
+		}
+		is.True(round < 100) // the silent server must have been chosen
+	}
+	waitFor(t, silent, `cassiarack_gate_running{`, `instance="`+silent.Name+`"`, " 0")
+}
+
+// waitFor waits until the metrics page of a node has a line with all the parts.
+func waitFor(t *testing.T, v *fleet.VM, parts ...string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), stateTimeout)
+	defer cancel()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%v/metrics", v.Admin), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatalf("no metrics line with %q: %v", parts, err)
+		}
+		page, err := io.ReadAll(res.Body)
+		res.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(page)) {
+			line = strings.TrimSpace(line)
+			if !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(line, p) }) &&
+				strings.HasSuffix(line, parts[len(parts)-1]) {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
