Add the report of experiments and end exchanges without a cancellation

Cause: no figure could be produced again with one command, and each exchange ended by a cancellation, which may cost the connection.

--- a/lib/service/handoff/attempt.go
+++ b/lib/service/handoff/attempt.go
@@ -198,6 +198,7 @@
 func (a *attempt) sendBody() {
 	a.sender = make(chan struct{})
 	if a.body.empty() {
+		a.closeSend()
 		close(a.sender)
 		return
 	}
@@ -225,7 +226,20 @@
 	if p.End {
 		up = &wire.Up{Kind: &wire.Up_End{End: &wire.End{Trailers: wire.ToFields(p.Trailers)}}}
 	}
-	return a.stream.Send(up) == nil && !p.End
+	if err := a.stream.Send(up); err != nil {
+		return false
+	}
+	if p.End {
+		a.closeSend()
+	}
+	return !p.End
+}
+
+// closeSend tells the gate that nothing follows, so that the connection can
+// carry the next exchange without a cancellation.
+func (a *attempt) closeSend() {
+	// An error means that the link is lost, which the receiving half reports.
+	_ = a.stream.CloseSend()
 }
 
 // awaitHead waits for the head of the answer.
@@ -275,13 +289,26 @@
 	defer a.close()
 	for {
 		p := a.piece()
-		if err := pieces.Put(a.ctx, p); err != nil || p.End || p.Err != nil {
+		err := pieces.Put(a.ctx, p)
+		if p.End {
+			a.awaitClose()
+		}
+		if err != nil || p.End || p.Err != nil {
 			pieces.Close()
 			return
 		}
 	}
 }
 
+// awaitClose waits until the gate closed the stream, as a cancellation before
+// that costs the connection.
+func (a *attempt) awaitClose() {
+	ctx, cancel := context.WithTimeout(a.ctx, closeTimeout)
+	defer cancel()
+	// The ring is closed when the stream is; no message follows the end.
+	_, _ = a.downs.Take(ctx)
+}
+
 func (a *attempt) piece() request.Piece {
 	down, err := a.downs.Take(a.ctx)
 	if err != nil {
--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -28,6 +28,8 @@
 	reserveTimeout = 400 * time.Millisecond
 	// settleTimeout bounds the wait for a settlement.
 	settleTimeout = time.Second
+	// closeTimeout bounds the wait for the close of a stream after its end.
+	closeTimeout = 100 * time.Millisecond
 	// retryBase is the mean delay before the second attempt.
 	retryBase = 5 * time.Millisecond
 )
--- /dev/null
+++ b/standin/experiment/crest.go
@@ -0,0 +1,165 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"cassiarack.example/standin/fleet"
+	"cassiarack.example/standin/load"
+)
+
+const (
+	// crestWork makes the capacity small enough for this machine to offer ten
+	// times as much.
+	crestWork    = 100 * time.Millisecond
+	crestTimeout = time.Second
+	crestPhase   = 8 * time.Second
+	// crestTarget is the share of the capacity that must be served usefully.
+	crestTarget = 0.95
+	// refusalTarget is the time in which a refusal must be told.
+	refusalTarget = 10 * time.Millisecond
+)
+
+// quotes is the service of the crest: 12 instances with 3 slots.
+var quotes = fleet.Deployment{
+	Name: "latvia quotes", Region: fleet.Latvia.Region, DataCentres: fleet.Latvia.DataCentres,
+	Services: []fleet.Service{fleet.Latvia.Services[1]},
+}
+
+var crest = Experiment{
+	Name:     "crest",
+	Question: "How much useful work is done when the demand exceeds the capacity, and right after?",
+	Run: func(ctx context.Context, env *Env) (*Result, error) {
+		s := quotes.Services[0]
+		capacity := float64(s.Instances*s.Slots) / crestWork.Seconds()
+		factors := []float64{1, 2, 3, 10, 0.8}
+		res := &Result{}
+		plot := Plot{Title: "Useful answers at the crest", X: "second", Y: "answers a second"}
+		var reports []*load.Report
+		for _, direct := range []float64{0, 1} {
+			r, err := crestRun(ctx, env, capacity, factors, direct)
+			if err != nil {
+				return nil, err
+			}
+			reports = append(reports, r)
+			plot.Lines = append(plot.Lines, usefulLine(r, []string{"cassiarack", "straight, round robin"}[int(direct)]))
+		}
+		for i, f := range factors {
+			res.Rows = append(res.Rows, crestRow(reports, i, f, capacity))
+		}
+		res.Rows = append(res.Rows, refusalRow(reports[0]), promises(reports[0]))
+		res.Plots = []Plot{plot}
+		return res, nil
+	},
+}
+
+func crestRun(ctx context.Context, env *Env, capacity float64, factors []float64, direct float64) (*load.Report, error) {
+	f, stop, err := env.start(ctx, quotes)
+	if err != nil {
+		return nil, err
+	}
+	p := load.Plan{Timeout: crestTimeout, Direct: direct, Kinds: []load.Kind{
+		{Name: "read", Service: "quotes", Method: "GET", Path: "items", Weight: 4, Idempotent: true, Work: crestWork},
+		{Name: "accept", Service: "quotes", Method: "POST", Path: "accept", Weight: 1, Body: 200, Work: crestWork},
+	}}
+	for _, x := range factors {
+		p.Phases = append(p.Phases, load.Phase{Duration: crestPhase, Rate: capacity * x})
+	}
+	r := env.load(ctx, f, fmt.Sprintf("crest, direct %v", direct), p)
+	return r, stop()
+}
+
+func phase(r *load.Report, i int) *load.Group {
+	return group(r, func(g *load.Group) bool { return g.Phase == i })
+}
+
+func crestRow(reports []*load.Report, i int, factor, capacity float64) Row {
+	possible := min(factor, 1) * capacity * crestPhase.Seconds()
+	share := func(r *load.Report) float64 {
+		g := phase(r, i)
+		// Arrivals are random; no more than those sent can be answered.
+		return float64(g.Useful) / min(possible, float64(g.Sent))
+	}
+	return Row{
+		Measure: fmt.Sprintf("useful answers at %v times capacity (phase %d)", factor, i+1),
+		Target:  fmt.Sprintf("%.0f%% of what capacity allows", crestTarget*100),
+		Figure:  fmt.Sprintf("%.1f%%", share(reports[0])*100), Baseline: fmt.Sprintf("%.1f%%", share(reports[1])*100),
+		Met: share(reports[0]) >= crestTarget,
+	}
+}
+
+func refusalRow(r *load.Report) Row {
+	g := group(r, func(g *load.Group) bool { return g.Phase < 4 })
+	p99 := time.Duration(g.Refused.ValueAtQuantile(99))
+	return Row{Measure: "p99 of the time until a refusal is told", Target: "below " + refusalTarget.String(),
+		Figure: round(p99).String(), Met: p99 < refusalTarget}
+}
+
+func usefulLine(r *load.Report, name string) Line {
+	l := Line{Name: name}
+	for i, s := range r.Seconds {
+		l.X, l.Y = append(l.X, float64(i)), append(l.Y, float64(s.Useful))
+	}
+	return l
+}
+
+var headOfLine = Experiment{
+	Name:     "headOfLine",
+	Question: "How much longer do short requests take when 1 in 100 requests runs 50 times longer?",
+	Run: func(ctx context.Context, env *Env) (*Result, error) {
+		const work, factor, share, target = 10 * time.Millisecond, 50, 0.01, 1.5
+		s := fleet.RioGrandeDoSul.Services[1]
+		d := fleet.Deployment{Name: "pedidos", Region: fleet.RioGrandeDoSul.Region,
+			DataCentres: fleet.RioGrandeDoSul.DataCentres, Services: []fleet.Service{s}}
+		// Half of the capacity is left for the stragglers and the variation.
+		rate := 0.5 * float64(s.Instances*s.Slots) / (work.Seconds() * (1 + share*factor))
+		res := &Result{}
+		var p99 [2][2]time.Duration
+		var reports []*load.Report
+		for way, direct := range []float64{0, 1} {
+			for with := range 2 {
+				f, stop, err := env.start(ctx, d)
+				if err != nil {
+					return nil, err
+				}
+				p := load.Plan{Timeout: 5 * time.Second, Direct: direct,
+					Phases: []load.Phase{{Duration: 3 * time.Second, Rate: rate}, {Duration: 15 * time.Second, Rate: rate}},
+					Kinds: []load.Kind{{Name: "short", Service: s.Name, Method: "GET", Path: "items", Weight: 1 - share,
+						Idempotent: true, Work: work}}}
+				if with == 1 {
+					// The same route: the entry cannot tell a straggler beforehand.
+					p.Kinds = append(p.Kinds, load.Kind{Name: "straggler", Service: s.Name, Method: "GET", Path: "items",
+						Weight: share, Idempotent: true, Work: factor * work})
+				}
+				r := env.load(ctx, f, "headOfLine", p)
+				if err := stop(); err != nil {
+					return nil, err
+				}
+				p99[way][with] = quantile(group(r, func(g *load.Group) bool { return g.Phase == 1 && g.Kind == "short" }), 99)
+				if way == 0 {
+					reports = append(reports, r)
+				}
+			}
+		}
+		ratio := func(way int) float64 { return float64(p99[way][1]) / float64(p99[way][0]) }
+		res.Rows = append(res.Rows, Row{
+			Measure: "p99 of short requests with stragglers against without", Target: fmt.Sprintf("below %v times", target),
+			Figure:   fmt.Sprintf("%.2f times (%v against %v)", ratio(0), round(p99[0][1]), round(p99[0][0])),
+			Baseline: fmt.Sprintf("%.2f times (%v against %v)", ratio(1), round(p99[1][1]), round(p99[1][0])),
+			Met:      ratio(0) < target,
+		}, promises(reports...))
+		return res, nil
+	},
+}
+
+// names returns the names of all experiments.
+func names() []string {
+	var out []string
+	for _, e := range All {
+		out = append(out, e.Name)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/standin/experiment/latency.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cassiarack.example/standin/fleet"
+	"cassiarack.example/standin/load"
+)
+
+// addedTarget is the time that the fleet may add to 99 in 100 requests, without
+// the network's own delay.
+const addedTarget = 1500 * time.Microsecond
+
+var addedLatency = Experiment{
+	Name:     "latency",
+	Question: "How much time does the fleet add to a request, against going straight to the backend server?",
+	Run: func(ctx context.Context, env *Env) (*Result, error) {
+		f, stop, err := env.start(ctx, fleet.Latvia)
+		if err != nil {
+			return nil, err
+		}
+		const rate, work = 400, 5 * time.Millisecond
+		p := load.Plan{Phases: []load.Phase{{Duration: 5 * time.Second, Rate: rate}, {Duration: 30 * time.Second, Rate: rate}},
+			Timeout: time.Second, Direct: 0.5}
+		for _, s := range fleet.Latvia.Services {
+			p.Kinds = append(p.Kinds,
+				load.Kind{Name: "idempotent", Service: s.Name, Method: "GET", Path: "items", Weight: 1, Idempotent: true, Work: work},
+				load.Kind{Name: "non-idempotent", Service: s.Name, Method: "POST", Path: "accept", Weight: 1, Body: 500, Work: work})
+		}
+		r := env.load(ctx, f, "latency", p)
+		if err := stop(); err != nil {
+			return nil, err
+		}
+		res := &Result{}
+		for _, kind := range []string{"idempotent", "non-idempotent"} {
+			res.Rows = append(res.Rows, addedRows(r, kind)...)
+		}
+		res.Rows = append(res.Rows, promises(r))
+		return res, nil
+	},
+}
+
+// addedRows compares the two ways in the second phase; the first opens the
+// connections.
+func addedRows(r *load.Report, kind string) []Row {
+	of := func(direct bool) *load.Group {
+		return group(r, func(g *load.Group) bool { return g.Phase == 1 && g.Kind == kind && g.Direct == direct })
+	}
+	through, straight := of(false), of(true)
+	var rows []Row
+	for _, q := range []float64{50, 99, 99.9} {
+		added := quantile(through, q) - quantile(straight, q)
+		row := Row{Measure: fmt.Sprintf("time added to %s requests at p%v", kind, q), Target: "none stated", Met: true,
+			Figure:   fmt.Sprintf("%v (%v through the fleet)", round(added), round(quantile(through, q))),
+			Baseline: fmt.Sprintf("%v straight", round(quantile(straight, q)))}
+		if q == 99 {
+			row.Target, row.Met = "below "+addedTarget.String(), added < addedTarget
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
