Add the operator's tool: check, plan, status, follow, watch, explain

Cause: operators could see neither what a change does nor where it is in force. Conclusion: the tool needs one reachable node and names those that do not answer.

--- a/lib/service/admin/admin.go
+++ b/lib/service/admin/admin.go
@@ -17,7 +17,11 @@
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/service"
 	configservice "cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/gate"
 	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/service/router"
+	"cassiarack.example/lib/wire"
 )
 
 const (
@@ -38,17 +42,13 @@
 	Log *log.Logger
 
 	config  *configservice.Service
+	gate    *gate.Service
+	peers   *peers.Service
+	router  router.Router
 	metrics *metrics.Service
 	server  *http.Server
 }
 
-// State is the state of a node, as operators see it.
-type State struct {
-	VM       string `json:"vm"`
-	Revision uint64 `json:"revision"`
-	Serving  bool   `json:"serving"`
-}
-
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
@@ -58,9 +58,23 @@
 	if s.metrics, err = kernel.Find[*metrics.Service](dir, service.Metrics); err != nil {
 		return err
 	}
+	if s.gate, err = kernel.Find[*gate.Service](dir, service.Gate); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Find[*peers.Service](dir, service.Peers); err != nil {
+		return err
+	}
+	if s.router, err = router.Find(dir); err != nil {
+		return err
+	}
+	if err := wire.DRPCRegisterState(s.peers.Mux(), s); err != nil {
+		return err
+	}
 	r := mux.NewRouter()
 	r.HandleFunc("/ready", s.ready).Methods(http.MethodGet)
 	r.HandleFunc("/state", s.state).Methods(http.MethodGet)
+	r.HandleFunc("/fleet", s.fleet).Methods(http.MethodGet)
+	r.HandleFunc("/explain", s.explain).Methods(http.MethodGet)
 	r.Handle("/metrics", s.metrics.Handler()).Methods(http.MethodGet)
 	if s.Profiling {
 		r.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -86,25 +100,37 @@
 	return nil
 }
 
-func (s *Service) current() State {
-	st := State{VM: s.VM}
-	if c := s.config.Current(); c != nil {
-		st.Revision, st.Serving = c.Revision.Number, true
-	}
-	return st
-}
-
 func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
-	if !s.current().Serving {
+	if s.config.Current() == nil {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
 		return
 	}
 	fmt.Fprintln(w, "serving")
 }
 
-func (s *Service) state(w http.ResponseWriter, _ *http.Request) {
+func (s *Service) state(w http.ResponseWriter, r *http.Request) {
+	reply, err := s.Report(r.Context(), nil)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	n := NodeState{VM: s.VM}
+	n.fill(reply)
+	s.writeJSON(w, n)
+}
+
+func (s *Service) fleet(w http.ResponseWriter, r *http.Request) {
+	c := s.config.Current()
+	if c == nil {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	s.writeJSON(w, s.gather(r.Context(), c))
+}
+
+func (s *Service) writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s.current()); err != nil {
-		s.Log.Debug("State not sent.", "err", err)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		s.Log.Debug("Answer not sent.", "err", err)
 	}
 }
--- /dev/null
+++ b/lib/service/admin/explain.go
@@ -0,0 +1,65 @@
+package admin
+
+import (
+	"net/http"
+
+	"cassiarack.example/lib/decision/route"
+	"cassiarack.example/lib/service/router"
+)
+
+// Explanation tells where a request would go from a node, and why.
+type Explanation struct {
+	Service    string      `json:"service"`
+	Prefix     string      `json:"prefix"`
+	Idempotent bool        `json:"idempotent"`
+	Candidates []Candidate `json:"candidates"`
+	Decisions  []Decision  `json:"decisions,omitempty"`
+	// Error tells why there is no route.
+	Error string `json:"error,omitempty"`
+}
+
+// Candidate is an instance that the request may go to.
+type Candidate struct {
+	Instance    string  `json:"instance"`
+	DataCentre  string  `json:"dataCentre"`
+	Weight      float64 `json:"weight"`
+	Outstanding int     `json:"outstanding"`
+	Running     int     `json:"running"`
+	Waiting     int     `json:"waiting"`
+	Reason      string  `json:"reason,omitempty"`
+}
+
+// Decision is a recorded decision about an instance.
+type Decision struct {
+	At       string `json:"at"`
+	Instance string `json:"instance"`
+	Text     string `json:"text"`
+}
+
+func (s *Service) explain(w http.ResponseWriter, r *http.Request) {
+	c := s.config.Current()
+	if c == nil {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	rt, err := route.Find(c, r.URL.Query().Get("method"), r.URL.Query().Get("path"))
+	if err != nil {
+		s.writeJSON(w, Explanation{Error: err.Error()})
+		return
+	}
+	out := Explanation{Service: rt.Service.Name, Prefix: rt.Prefix, Idempotent: rt.Idempotent}
+	candidates, err := s.router.Explain(r.Context(), router.Query{Service: rt.Service})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	for _, x := range candidates {
+		dc := ""
+		if i := c.Instances[x.Instance]; i != nil {
+			dc = i.VM.DataCentre
+		}
+		out.Candidates = append(out.Candidates, Candidate{Instance: x.Instance, DataCentre: dc, Weight: x.Weight,
+			Outstanding: x.Outstanding, Running: x.Running, Waiting: x.Waiting})
+	}
+	s.writeJSON(w, out)
+}
--- /dev/null
+++ b/lib/service/gate/inspect.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"cassiarack.example/lib/ring"
+)
+
+// Occupancy is the state of an instance at its gate.
+type Occupancy struct {
+	Instance string
+	Service  string
+	Slots    int
+	Running  int
+	Waiting  int
+	Leaving  bool
+}
+
+// inspect asks for the occupancy of all instances.
+type inspect struct {
+	call ring.Call[struct{}, []Occupancy]
+}
+
+func (c inspect) apply(_ time.Time, s *Service) {
+	var out []Occupancy
+	for _, i := range s.instances() {
+		d := s.desk(i.Name)
+		out = append(out, Occupancy{
+			Instance: i.Name,
+			Service:  i.Service.Name,
+			Slots:    d.slots.Slots,
+			Running:  d.slots.Running(),
+			Waiting:  d.slots.Waiting(),
+			Leaving:  d.slots.Leaving,
+		})
+	}
+	c.call.Reply(out)
+}
+
+// Occupancy returns the state of the instances of the VM.
+func (s *Service) Occupancy(ctx context.Context) ([]Occupancy, error) {
+	cmd := inspect{call: ring.NewCall[struct{}, []Occupancy](struct{}{})}
+	if err := s.commands.Offer(cmd); err != nil {
+		return nil, err
+	}
+	return cmd.call.Wait(ctx)
+}
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -45,8 +45,9 @@
 
 // command is one command to the duty.
 type command struct {
-	choose *ring.Call[Query, chosen]
-	report *Report
+	choose  *ring.Call[Query, chosen]
+	explain *ring.Call[Query, []choice.Candidate]
+	report  *Report
 }
 
 // Service chooses instances with policy P.
@@ -74,6 +75,8 @@
 type Router interface {
 	// Choose returns an instance. Each choice must be followed by a Report.
 	Choose(ctx context.Context, q Query) (*config.Instance, error)
+	// Explain returns the candidates of a query without choosing one.
+	Explain(ctx context.Context, q Query) ([]choice.Candidate, error)
 	// Report tells the end of an attempt.
 	Report(ctx context.Context, r Report) error
 }
@@ -99,6 +102,15 @@
 	return c.instance, c.err
 }
 
+// Explain implements Router.
+func (s *Service[P]) Explain(ctx context.Context, q Query) ([]choice.Candidate, error) {
+	call := ring.NewCall[Query, []choice.Candidate](q)
+	if err := s.commands.Offer(command{explain: &call}); err != nil {
+		return nil, err
+	}
+	return call.Wait(ctx)
+}
+
 // Report implements Router.
 func (s *Service[P]) Report(ctx context.Context, r Report) error {
 	return s.commands.Put(ctx, command{report: &r})
@@ -114,27 +126,33 @@
 	switch {
 	case c.choose != nil:
 		c.choose.Reply(s.choose(now, c.choose.Query))
+	case c.explain != nil:
+		c.explain.Reply(s.candidates(c.explain.Query))
 	case c.report != nil:
 		s.record(now, *c.report)
 	}
 }
 
 func (s *Service[P]) choose(now time.Time, q Query) chosen {
+	c, err := s.chooser.Choose(now, q.Service.Name, s.candidates(q))
+	if err != nil {
+		return chosen{err: err}
+	}
+	s.of(c.Instance).outstanding++
+	i := slices.IndexFunc(q.Service.Instances, func(i *config.Instance) bool { return i.Name == c.Instance })
+	return chosen{instance: q.Service.Instances[i]}
+}
+
+// candidates returns the instances that may get the request of a query.
+func (s *Service[P]) candidates(q Query) []choice.Candidate {
 	cs := make([]choice.Candidate, 0, len(q.Service.Instances))
-	byName := make(map[string]*config.Instance, len(q.Service.Instances))
 	for _, i := range q.Service.Instances {
 		if i.Leaving || slices.Contains(q.Exclude, i.Name) {
 			continue
 		}
-		byName[i.Name] = i
 		cs = append(cs, s.candidate(i))
 	}
-	c, err := s.chooser.Choose(now, q.Service.Name, cs)
-	if err != nil {
-		return chosen{err: err}
-	}
-	s.of(c.Instance).outstanding++
-	return chosen{instance: byName[c.Instance]}
+	return cs
 }
 
 func (s *Service[P]) candidate(i *config.Instance) choice.Candidate {
--- a/node/serve.go
+++ b/node/serve.go
@@ -121,7 +121,7 @@
 		},
 		{
 			Name:  service.Admin,
-			Needs: []string{service.Config, service.Metrics},
+			Needs: []string{service.Config, service.Metrics, service.Gate, service.Peers, service.Router},
 			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
 				Log: n.log("admin")},
 		},
--- a/operator/main.go
+++ b/operator/main.go
@@ -7,55 +7,105 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// version is set by the linker.
+var version = "development"
 
-	"cassiarack.example/lib/decision/config"
+// Exit codes.
+const (
+	exitOK = iota
+	// exitFailure means that the command could not do its work.
+	exitFailure
+	// exitUsage means that the command line is wrong.
+	exitUsage
+	// exitFinding means that the command did its work and found a fault: an
+	// invalid file, or a change that is not in force everywhere.
+	exitFinding
 )
 
+// findingError is a fault that the command found in what it looked at.
+type findingError struct{ err error }
+
+func (e *findingError) Error() string { return e.err.Error() }
+func (e *findingError) Unwrap() error { return e.err }
+
+func finding(format string, args ...any) error {
+	return &findingError{err: fmt.Errorf(format, args...)}
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	root := &ff.Command{
-		Name:        "cassiarack",
-		Usage:       "cassiarack COMMAND [FLAGS]",
-		ShortHelp:   "check and follow the configuration of a fleet",
-		Subcommands: []*ff.Command{checkCommand()},
-		Exec:        func(context.Context, []string) error { return ff.ErrHelp },
+	code := run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string) int {
+	root := rootCommand()
+	err := root.Parse(args, ff.WithEnvVarPrefix("CASSIARACK"))
+	if err == nil {
+		err = root.Run(ctx)
 	}
-	err := root.ParseAndRun(ctx, os.Args[1:], ff.WithEnvVarPrefix("CASSIARACK"))
+	var found *findingError
 	switch {
+	case err == nil:
+		return exitOK
 	case errors.Is(err, ff.ErrHelp):
-		fmt.Println(ffhelp.Command(root))
-	case err != nil:
+		selected := root.GetSelected()
+		if selected == nil {
+			selected = root
+		}
+		fmt.Println(ffhelp.Command(selected))
+		return exitOK
+	case errors.Is(err, ff.ErrNoExec), errors.Is(err, ff.ErrUnknownFlag), errors.Is(err, errUsage):
+		fmt.Fprintln(os.Stderr, "cassiarack:", err)
+		fmt.Fprintln(os.Stderr, "try cassiarack --help")
+		return exitUsage
+	case errors.As(err, &found):
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		return exitFinding
+	default:
+		fmt.Fprintln(os.Stderr, "cassiarack:", err)
+		return exitFailure
 	}
 }
 
-func checkCommand() *ff.Command {
-	return &ff.Command{
-		Name:      "check",
-		Usage:     "cassiarack check FILE...",
-		ShortHelp: "check register and rules before they are published",
-		Exec: func(_ context.Context, files []string) error {
-			documents := make(map[string][]byte, len(files))
-			for _, f := range files {
-				text, err := os.ReadFile(f)
-				if err != nil {
-					return fmt.Errorf("read: %w", err)
-				}
-				documents[filepath.Base(f)] = text
-			}
-			c, err := config.Decode(config.Revision{}, documents)
-			if err != nil {
-				return err
-			}
-			fmt.Printf("valid: %d VMs, %d instances, %d services\n", len(c.VMs), len(c.Instances), len(c.Services))
+// errUsage marks a wrong command line.
+var errUsage = errors.New("usage")
+
+func rootCommand() *ff.Command {
+	root := &ff.Command{
+		Name:      "cassiarack",
+		Usage:     "cassiarack COMMAND [FLAGS]",
+		ShortHelp: "check, follow and explain a fleet",
+		LongHelp: "Examples:\n" +
+			"  cassiarack check register.jsonc rules.jsonc\n" +
+			"  cassiarack plan --before old/ --after new/\n" +
+			"  cassiarack status --node 10.0.1.1:9090\n" +
+			"  cassiarack follow --node 10.0.1.1:9090 --revision 42\n" +
+			"  cassiarack explain --node 10.0.1.1:9090 GET /quotes/1\n\n" +
+			"Exit codes: 0 done, 1 could not be done, 2 wrong command line, 3 done and a fault found.",
+	}
+	fs := ff.NewFlagSet("cassiarack")
+	showVersion := fs.BoolLong("version", "print the version and exit")
+	root.Flags = fs
+	root.Exec = func(_ context.Context, args []string) error {
+		if len(args) > 0 {
+			return fmt.Errorf("%w: no command %q", errUsage, args[0])
+		}
+		if *showVersion {
+			fmt.Println("cassiarack", version)
 			return nil
-		},
+		}
+		return ff.ErrHelp
 	}
+	root.Subcommands = []*ff.Command{checkCommand(), planCommand(), statusCommand(), followCommand(), watchCommand(),
+		explainCommand()}
+	root.Subcommands = append(root.Subcommands, completionCommand(root))
+	return root
 }
