Prove the front end against malformed, slow, cut and large requests

Cause: nothing showed that a node survives what arrives at its ports. Change: tests with real nodes for malformed requests, random bytes on every port, slow headers, bodies cut on either side, and four bodies of 100 MB at once.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -28,6 +28,8 @@
 	Slowdown float64 `json:"slowdown"`
 	// HangShare of the requests gets no answer.
 	HangShare float64 `json:"hangShare"`
+	// CutShare of the answers ends in the middle of the body.
+	CutShare float64 `json:"cutShare"`
 }
 
 // Server is a backend server.
@@ -50,6 +52,7 @@
 	counts  map[string]int
 	present int
 	peak    int
+	cut     int
 }
 
 // SetFault changes how the server misbehaves.
@@ -78,6 +81,20 @@
 	return s.peak
 }
 
+// Present returns the number of requests that are at the server.
+func (s *Server) Present() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.present
+}
+
+// CutBodies returns the number of requests whose body did not end.
+func (s *Server) CutBodies() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut
+}
+
 // Handler serves requests, and the control calls under /_standin/.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter().SkipClean(true)
@@ -183,9 +200,22 @@
 	if r.ContentLength >= 0 {
 		w.Header().Set("Content-Length", fmt.Sprint(r.ContentLength))
 	}
-	// The answer is the body of the request. An error means that the caller
-	// went away.
-	_, _ = io.Copy(w, r.Body)
+	s.echo(w, r, f)
+}
+
+// echo answers with the body of the request.
+func (s *Server) echo(w http.ResponseWriter, r *http.Request, f Fault) {
+	if rand.Float64() < f.CutShare {
+		// An error means that the caller went away.
+		_, _ = io.CopyN(w, r.Body, max(r.ContentLength, 2)/2)
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(w, r.Body); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.cut++
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // work takes the service time. It reports false when the caller went away.
--- /dev/null
+++ b/standin/proof/front_test.go
@@ -0,0 +1,237 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/lib/golden"
+	"cassiarack.example/standin/backend"
+	"cassiarack.example/standin/fleet"
+)
+
+// waitTimeout bounds the wait for a state in a test.
+const waitTimeout = 30 * time.Second
+
+// TestMalformed guards against requests that are passed on although they are
+// malformed, and against refusals that do not tell that nothing was run.
+func TestMalformed(t *testing.T) {
+	f := start(t, small, "")
+	var b strings.Builder
+	for _, c := range []struct{ name, text string }{
+		{"no route", "GET /nothing/1 HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"no HTTP", "hello\r\n\r\n"},
+		{"no host", "GET /orders/1 HTTP/1.1\r\n\r\n"},
+		{"unknown version", "GET /orders/1 HTTP/9.1\r\nHost: x\r\n\r\n"},
+		{"oversize header", "GET /orders/1 HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 100<<10) + "\r\n\r\n"},
+		{"two lengths", "POST /orders/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"},
+		{"negative length", "POST /orders/1 HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n"},
+		{"unknown coding", "POST /orders/1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: zip\r\n\r\n"},
+		{"upgrade", "GET /orders/1 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"},
+		{"connect", "CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\n\r\n"},
+		{"timeout without a unit", "GET /orders/1 HTTP/1.1\r\nHost: x\r\nCassiarack-Timeout: 5\r\n\r\n"},
+		{"header without a colon", "GET /orders/1 HTTP/1.1\r\nHost: x\r\nNonsense\r\n\r\n"},
+	} {
+		fmt.Fprintf(&b, "%s: %s\n", c.name, rawAnswer(t, f.VMs[0].Callers, c.text))
+	}
+	golden.Check(t, "malformed", b.String())
+	if n := len(executions(f)); n != 0 {
+		t.Errorf("%d malformed requests ran", n)
+	}
+}
+
+// rawAnswer sends text and returns the status and outcome of the answer.
+func rawAnswer(t *testing.T, addr netip.AddrPort, text string) string {
+	t.Helper()
+	conn := dial(t, addr)
+	defer conn.Close()
+	// The server may answer and close before it read everything.
+	_, _ = io.WriteString(conn, text)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no answer"
+	}
+	defer res.Body.Close()
+	return fmt.Sprintf("%d %s", res.StatusCode, res.Header.Get("Cassiarack-Outcome"))
+}
+
+func dial(t *testing.T, addr netip.AddrPort) net.Conn {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", addr.String(), waitTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetDeadline(time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// TestRandomBytes guards against a node that ends, hangs or keeps memory when
+// random bytes arrive at any of its ports.
+func TestRandomBytes(t *testing.T) {
+	f := start(t, small, "")
+	v := f.VMs[0]
+	for _, addr := range []netip.AddrPort{v.Callers, v.Fleet, v.Admin} {
+		for range 20 {
+			conn := dial(t, addr)
+			// The node may close the connection while the bytes are on their way.
+			_, _ = io.CopyN(conn, rand.Reader, 256<<10)
+			_ = conn.Close()
+		}
+	}
+	if err := exchangeOnce(t.Context(), http.DefaultClient, v, 1); err != nil {
+		t.Errorf("after random bytes: %v", err)
+	}
+}
+
+// TestSlowCaller guards against callers that hold connections by sending their
+// headers slowly.
+func TestSlowCaller(t *testing.T) {
+	is := is.New(t)
+	f := start(t, small, "")
+	conn := dial(t, f.VMs[0].Callers)
+	defer conn.Close()
+	_, err := io.WriteString(conn, "GET /orders/1 HTTP/1.1\r\nHost: x\r\nX-Slow")
+	is.NoErr(err)
+	// The node closes the connection, so that the read ends before its deadline.
+	rest, err := io.ReadAll(conn)
+	var timeout net.Error
+	is.True(!errors.As(err, &timeout) || !timeout.Timeout())
+	is.True(!bytes.Contains(rest, []byte("200 OK")))
+}
+
+// TestCutBodies guards against bodies that were cut on either side and look
+// complete on the other.
+func TestCutBodies(t *testing.T) {
+	is := is.New(t)
+	f := start(t, small, "")
+	for _, head := range []string{"Content-Length: 1000", "Transfer-Encoding: chunked"} {
+		conn := dial(t, f.VMs[0].Callers)
+		_, err := io.WriteString(conn, "POST /orders/accept HTTP/1.1\r\nHost: x\r\n"+head+"\r\n\r\n5\r\nhello\r\n")
+		is.NoErr(err)
+		waitUntil(t, "the request runs", func() bool { return present(f) > 0 })
+		_ = conn.Close()
+		waitUntil(t, "the request ends", func() bool { return present(f) == 0 })
+	}
+	cut := 0
+	for _, v := range f.VMs {
+		cut += v.Server.CutBodies()
+		v.Server.SetFault(backend.Fault{CutShare: 1})
+	}
+	is.Equal(cut, 2) // The backend servers saw both bodies as cut.
+	for i := range 20 {
+		body := bytes.Repeat([]byte("x"), 1+i*5000)
+		res, err := http.Post(fmt.Sprintf("http://%v/orders/accept", f.VMs[i%len(f.VMs)].Callers), "text/plain", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		got, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if err == nil && res.StatusCode == http.StatusOK {
+			t.Errorf("an answer of %d bytes that was cut looks complete with %d bytes", len(body), len(got))
+		}
+	}
+}
+
+func present(f *fleet.Fleet) int {
+	n := 0
+	for _, v := range f.VMs {
+		n += v.Server.Present()
+	}
+	return n
+}
+
+// waitUntil waits for a state with a generous bound.
+func waitUntil(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); !reached(); {
+		if time.Now().After(end) {
+			t.Fatalf("timeout: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestLargeBodies guards against nodes that hold whole bodies in memory: four
+// bodies of 100 MB pass while the memory of each node stays bounded.
+func TestLargeBodies(t *testing.T) {
+	f := start(t, small, "")
+	const size, bound = 100 << 20, 100 << 20
+	before := make(map[string]int)
+	for _, v := range f.VMs {
+		before[v.Name] = resident(t, v)
+	}
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			if err := echoLarge(t.Context(), f.VMs[i], size); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	for _, v := range f.VMs {
+		if grown := resident(t, v) - before[v.Name]; grown > bound {
+			t.Errorf("node %s grew by %d MB", v.Name, grown>>20)
+		}
+	}
+}
+
+// echoLarge sends a body of zeros and checks that as many come back.
+func echoLarge(ctx context.Context, v *fleet.VM, size int64) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%v/orders/accept", v.Callers),
+		io.LimitReader(zeros{}, size))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	n, err := io.Copy(io.Discard, res.Body)
+	if err != nil || n != size {
+		return fmt.Errorf("status %d, %d bytes, want %d: %w", res.StatusCode, n, size, err)
+	}
+	return nil
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// resident returns the resident memory of a node in bytes.
+func resident(t *testing.T, v *fleet.VM) int {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("/proc", fmt.Sprint(v.Process.Process.Pid), "status"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		var kb int
+		if n, _ := fmt.Sscanf(line, "VmRSS: %d kB", &kb); n == 1 {
+			return kb << 10
+		}
+	}
+	t.Fatal("no VmRSS")
+	return 0
+}
--- a/standin/proof/path_test.go
+++ b/standin/proof/path_test.go
@@ -82,3 +82,17 @@
 	}
 	return sum
 }
+
+// TestLeavingFromStart guards against work that is sent to a backend server that
+// the rules mark as leaving.
+func TestLeavingFromStart(t *testing.T) {
+	is := is.New(t)
+	f := start(t, small, `{"leaving": [{"instance": "orders-01"}, {"vm": "stock-02"}]}`)
+	for i := range 200 {
+		is.NoErr(exchangeOnce(t.Context(), http.DefaultClient, f.VMs[i%len(f.VMs)], i))
+	}
+	for _, v := range f.VMs {
+		leaving := v.Name == "orders-01" || v.Name == "stock-02"
+		is.Equal(len(v.Server.Executions()) == 0, leaving)
+	}
+}
