--- a/lib/decision/handover/gate.go
+++ b/lib/decision/handover/gate.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -14,6 +15,7 @@
 	KindExpired     Kind = "grant expired or voided"
 	KindUsed        Kind = "grant already committed"
 	KindDuplicate   Kind = "attempt already seen"
+	KindPaused      Kind = "process was paused since the grant"
 )
 
 // Error is the error of package handover.
@@ -25,6 +27,14 @@
 // Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("handover: %s: %s", e.Op, e.Kind) }
 
+// MayHaveRun reports whether the work of a commit that failed with err may have
+// started through another commit: the grant was used before, or it is of
+// another incarnation, of whose commits this one knows nothing.
+func MayHaveRun(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && (e.Kind == KindUsed || e.Kind == KindIncarnation || e.Kind == KindDuplicate)
+}
+
 // Attempt identifies one attempt of an entry to hand a request over. An entry
 // never uses an identifier twice.
 type Attempt [16]byte
@@ -57,10 +67,19 @@
 	// Memory is how long an attempt is remembered after its last change. It
 	// must exceed the longest time that a message can be on its way.
 	Memory time.Duration
+	// MaxGap is the longest time between two calls of Alive of a process that
+	// is not paused; zero means that pauses are not detected.
+	MaxGap time.Duration
 
 	number   uint64
+	alive    time.Time
 	grants   map[uint64]*record
 	attempts map[Attempt]*record
+	// holds has the records in the order of their expiry, which is the order of
+	// their reservation as Hold does not change.
+	holds []*record
+	// aging has each record once, with the oldest due time first.
+	aging []*record
 }
 
 type state int
@@ -80,6 +99,8 @@
 	expires time.Time
 	changed time.Time
 	running bool
+	// due is when the record is next examined for removal.
+	due time.Time
 }
 
 // Open notes an attempt before it gets a slot. An attempt that was seen or
@@ -92,7 +113,9 @@
 	if _, seen := g.attempts[a]; seen {
 		return &Error{Op: "open", Kind: KindDuplicate}
 	}
-	g.attempts[a] = &record{attempt: a, state: waiting, changed: now}
+	r := &record{attempt: a, state: waiting, changed: now, due: now.Add(g.Memory)}
+	g.attempts[a] = r
+	g.aging = append(g.aging, r)
 	return nil
 }
 
@@ -107,11 +130,14 @@
 	r.number, r.state, r.changed = g.number, reserved, now
 	r.expires = now.Add(g.Hold)
 	g.grants[r.number] = r
+	g.holds = append(g.holds, r)
 	return Grant{Incarnation: g.Incarnation, Number: r.number}, nil
 }
 
 // Commit marks the work of a grant as started. After a nil error the caller
-// must start the work.
+// must start the work. An error of kind KindUsed or KindIncarnation says nothing
+// about the work, which may have started; after an error of another kind the
+// grant will never start it.
 func (g *Gate) Commit(now time.Time, gr Grant) error {
 	if gr.Incarnation != g.Incarnation {
 		return &Error{Op: "commit", Kind: KindIncarnation}
@@ -122,6 +148,9 @@
 		return &Error{Op: "commit", Kind: KindExpired}
 	case r.state == committed:
 		return &Error{Op: "commit", Kind: KindUsed}
+	case g.paused(now):
+		r.state, r.changed = voided, now
+		return &Error{Op: "commit", Kind: KindPaused}
 	case !now.Before(r.expires):
 		r.state, r.changed = voided, now
 		return &Error{Op: "commit", Kind: KindExpired}
@@ -190,19 +219,55 @@
 	}
 }
 
+// Alive notes that the process runs. After a gap of more than MaxGap on the
+// monotonic or the wall clock it voids all attempts that were not committed,
+// and returns true and the attempts that held a reservation.
+func (g *Gate) Alive(now time.Time) ([]Attempt, bool) {
+	gap := g.paused(now)
+	g.alive = now
+	if !gap {
+		return nil, false
+	}
+	return g.VoidAll(now), true
+}
+
+// paused reports whether the process was paused since the last call of Alive.
+// The monotonic clock stands still while a VM is suspended, and the wall clock
+// may be set back, so either gap counts.
+func (g *Gate) paused(now time.Time) bool {
+	if g.MaxGap <= 0 || g.alive.IsZero() {
+		return false
+	}
+	return now.Sub(g.alive) > g.MaxGap || now.Round(0).Sub(g.alive.Round(0)) > g.MaxGap
+}
+
 // Expire voids the grants that were not committed in time and returns their
 // attempts, whose slots are free again. It forgets old records.
 func (g *Gate) Expire(now time.Time) []Attempt {
 	var out []Attempt
-	for a, r := range g.attempts {
-		if r.state == reserved && !now.Before(r.expires) {
+	for len(g.holds) > 0 && !now.Before(g.holds[0].expires) {
+		r := g.holds[0]
+		g.holds = g.holds[1:]
+		if r.state == reserved {
 			r.state, r.changed = voided, now
-			out = append(out, a)
-		}
-		if !r.running && r.state != waiting && now.Sub(r.changed) > g.Memory {
-			delete(g.attempts, a)
-			delete(g.grants, r.number)
+			out = append(out, r.attempt)
 		}
 	}
+	g.forget(now)
 	return out
 }
+
+// forget drops the records that did not change for Memory.
+func (g *Gate) forget(now time.Time) {
+	for len(g.aging) > 0 && now.After(g.aging[0].due) {
+		r := g.aging[0]
+		g.aging = g.aging[1:]
+		if r.running || r.state == waiting || r.state == reserved || now.Sub(r.changed) <= g.Memory {
+			r.due = now.Add(g.Memory)
+			g.aging = append(g.aging, r)
+			continue
+		}
+		delete(g.attempts, r.attempt)
+		delete(g.grants, r.number)
+	}
+}
