--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -23,6 +23,8 @@
 	reserveTimeout = 400 * time.Millisecond
 	// settleTimeout bounds the wait for a settlement.
 	settleTimeout = time.Second
+	// closeTimeout bounds the wait for the close of a stream after its end.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // Service hands requests over.
