Let long waits take a share of the time left, and keep read deadlines off idle connections

Cause: on a busy machine TestOwnAnswer failed in two ways. Requests with 30 s left were refused after a wait of 100 ms while the run time of the route was unknown. And a node refused all requests of a caller's connection as cancelled: upload.stop set a read deadline after the end of the body, where net/http already reads for the next request, and the failed read cancels the connection.

Change: a long wait may take an eighth of the time left, since the queue is bounded by its length. stop sets no deadline once the body has ended.

One window is left: stop between the read of the end and its note.

--- a/lib/decision/retry/move.go
+++ b/lib/decision/retry/move.go
@@ -17,6 +17,10 @@
 	// that is filled to its bound of four requests for each slot, and the run in
 	// front of it.
 	longRuns = 5
+	// longShare is the part of the time left that a long wait may take at least.
+	// The queue is bounded by its length, so that the wait at a healthy instance
+	// is short; one whose slots are all stuck must leave time for others.
+	longShare = 8
 )
 
 // Move is how a request is offered to a gate.
@@ -45,7 +49,7 @@
 func (m Move) Patience(expected, remaining time.Duration) time.Duration {
 	p := max(expected, minPatience)
 	if m.Long {
-		p = max(longRuns*expected, longPatience)
+		p = max(longRuns*expected, longPatience, remaining/longShare)
 	}
 	return max(0, min(p, remaining-expected))
 }
--- a/lib/service/front/upload.go
+++ b/lib/service/front/upload.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cassiarack.example/lib/request"
@@ -20,6 +21,8 @@
 	pieces  *request.Pieces
 	// done is closed when the duty ended; it is nil before open.
 	done chan struct{}
+	// ended is set when the body needs no more reads.
+	ended atomic.Bool
 }
 
 func newUpload(w http.ResponseWriter, r *http.Request) *upload {
@@ -51,6 +54,9 @@
 	defer close(u.done)
 	for {
 		p := u.read()
+		if p.End || p.Err != nil {
+			u.ended.Store(true)
+		}
 		if err := u.pieces.Put(u.ctx, p); err != nil || p.End || p.Err != nil {
 			return
 		}
@@ -79,10 +85,12 @@
 	if u.done == nil {
 		return
 	}
-	select {
-	case <-u.done:
+	if u.ended.Load() {
+		// At the end of the body net/http begins to read for the next request. A
+		// deadline would fail that read and cancel all later requests of the
+		// connection.
+		<-u.done
 		return
-	default:
 	}
 	// A connection that does not support deadlines ends the read when it closes.
 	_ = u.control.SetReadDeadline(time.Now())
