--- /dev/null
+++ b/lib/decision/revision/keeper.go
@@ -0,0 +1,272 @@
+package revision
+
+import (
+	"fmt"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+)
+
+const (
+	// PauseLimit is the longest pause after which a node goes on serving
+	// without asking a peer. Within it the fleet cannot have both accepted a
+	// configuration and put it in force everywhere.
+	PauseLimit = 2 * time.Second
+	// answerLife is how long the answer of a peer counts. A peer that answered
+	// earlier may serve, or serve a newer revision, by now.
+	answerLife = 5 * time.Second
+	// maxRejected bounds the invalid revisions that are remembered.
+	maxRejected = 64
+)
+
+// Judgement is what a Keeper decides about a revision.
+type Judgement string
+
+// Judgements.
+const (
+	// Accepted means that the revision is now held.
+	Accepted Judgement = "accepted"
+	// Known means that the revision is already held.
+	Known Judgement = "known"
+	// Older means that a higher number is held.
+	Older Judgement = "older"
+	// Forked means that the number is held with another digest.
+	Forked Judgement = "forked"
+	// Invalid means that the content was rejected.
+	Invalid Judgement = "invalid"
+)
+
+// Verdict is a judgement with its reason.
+type Verdict struct {
+	Judgement Judgement
+	Reason    string
+}
+
+// Rejected reports whether operators must hear of the verdict.
+func (v Verdict) Rejected() bool { return v.Judgement != Accepted && v.Judgement != Known }
+
+// Source is where a revision comes from.
+type Source struct {
+	// Name is the name of a VM, or of the platform.
+	Name string
+	// Serving is set for a peer that serves.
+	Serving bool
+}
+
+// Answer is a peer's answer to a question about its revision.
+type Answer struct {
+	// Peer is the name of the peer's VM.
+	Peer string
+	// Asked is when the question was sent.
+	Asked time.Time
+	// Revision is what the peer holds; Number is 0 for none.
+	Revision config.Revision
+	// Serving is set if the peer serves.
+	Serving bool
+}
+
+// protection is one of the rules of the Keeper. Tests switch single ones off to
+// show that the property test depends on each.
+type protection int
+
+const (
+	higherOnly protection = iota + 1
+	forkCheck
+	validOnly
+	holdUntilConfirmed
+	samePeerRevision
+	majorityOfDataCentre
+	freshAnswers
+	confirmAfterPause
+)
+
+// Keeper decides for one node. It is used by one goroutine.
+type Keeper struct {
+	// Self is the name of the node's VM.
+	Self string
+	// Started is when the node started.
+	Started time.Time
+
+	held      config.Revision
+	inForce   bool
+	confirmed bool
+	// since is the start or the end of the last pause; earlier questions do
+	// not count.
+	since time.Time
+	// highest is the highest number that a serving peer reported.
+	highest uint64
+	// neighbours are the VMs of the data centre, by the held configuration.
+	neighbours map[string]bool
+	idle       map[string]time.Time
+	rejected   map[config.Revision]string
+	order      []config.Revision
+	off        protection
+}
+
+// Held returns the revision held, in force or not; its number is 0 for none.
+func (k *Keeper) Held() config.Revision { return k.held }
+
+// InForce returns the revision in force and whether there is one.
+func (k *Keeper) InForce() (config.Revision, bool) {
+	if !k.inForce {
+		return config.Revision{}, false
+	}
+	return k.held, true
+}
+
+// Judge tells what Offer would decide about a revision with valid content.
+// Accepted means that its content is worth reading.
+func (k *Keeper) Judge(rev config.Revision, from Source) Verdict {
+	if why, ok := k.rejected[rev]; ok {
+		return Verdict{Invalid, why}
+	}
+	switch {
+	case rev == k.held:
+		return Verdict{Judgement: Known}
+	case rev.Number > k.held.Number || k.off == higherOnly:
+		return Verdict{Judgement: Accepted}
+	case rev.Number < k.held.Number:
+		return Verdict{Older, fmt.Sprintf("revision %d is older than %d", rev.Number, k.held.Number)}
+	case k.off == forkCheck:
+		return Verdict{Judgement: Accepted}
+	case !k.inForce && from.Serving:
+		// A node that does not serve yet follows the fleet.
+		return Verdict{Accepted, k.fork(rev)}
+	}
+	return Verdict{Forked, k.fork(rev)}
+}
+
+func (k *Keeper) fork(rev config.Revision) string {
+	return fmt.Sprintf("revision %d has digest %.4x from this source and %.4x here", rev.Number, rev.Digest, k.held.Digest)
+}
+
+// Offer proposes a revision whose content was read and checked; fault is the
+// result of the check. The neighbours are the VMs of the node's data centre in
+// that content.
+func (k *Keeper) Offer(_ time.Time, rev config.Revision, from Source, neighbours []string, fault error) Verdict {
+	v := k.Judge(rev, from)
+	if v.Judgement != Accepted {
+		return v
+	}
+	if fault != nil && k.off != validOnly {
+		k.reject(rev, fault.Error())
+		return Verdict{Invalid, fault.Error()}
+	}
+	k.held = rev
+	k.neighbours = make(map[string]bool, len(neighbours))
+	for _, n := range neighbours {
+		k.neighbours[n] = true
+	}
+	if k.off == holdUntilConfirmed {
+		k.inForce, k.confirmed = true, true
+	}
+	return v
+}
+
+func (k *Keeper) reject(rev config.Revision, why string) {
+	if k.rejected == nil {
+		k.rejected = make(map[config.Revision]string)
+	}
+	if len(k.order) >= maxRejected {
+		delete(k.rejected, k.order[0])
+		k.order = k.order[1:]
+	}
+	k.rejected[rev] = why
+	k.order = append(k.order, rev)
+}
+
+// Heard notes the revision that a serving peer reported without being asked.
+func (k *Keeper) Heard(rev config.Revision, serving bool) {
+	if serving {
+		k.highest = max(k.highest, rev.Number)
+	}
+}
+
+// Confirm takes the answer of a peer. It reports whether the node may serve
+// because of it.
+func (k *Keeper) Confirm(now time.Time, a Answer) bool {
+	k.Heard(a.Revision, a.Serving)
+	if k.off != freshAnswers && (a.Asked.Before(k.from()) || now.Sub(a.Asked) > answerLife) {
+		return k.confirmed
+	}
+	if a.Serving {
+		delete(k.idle, a.Peer)
+		if k.held.Number > 0 && (a.Revision == k.held || k.off == samePeerRevision) {
+			k.confirm()
+		}
+		return k.confirmed
+	}
+	if k.idle == nil {
+		k.idle = make(map[string]time.Time)
+	}
+	k.idle[a.Peer] = a.Asked
+	return k.MayServe(now)
+}
+
+// from returns the time before which questions do not count.
+func (k *Keeper) from() time.Time {
+	if k.since.IsZero() {
+		return k.Started
+	}
+	return k.since
+}
+
+func (k *Keeper) confirm() { k.inForce, k.confirmed = true, true }
+
+// MayServe reports whether the node may serve. When it first may, the revision
+// held is put in force.
+func (k *Keeper) MayServe(now time.Time) bool {
+	if !k.confirmed && k.held.Number > 0 && k.fleetStarts(now) {
+		k.confirm()
+	}
+	return k.confirmed
+}
+
+// fleetStarts reports whether more than half of the VMs of the data centre,
+// this one among them, answered lately that they do not serve. A node that
+// heard of a higher revision in service waits for that revision.
+func (k *Keeper) fleetStarts(now time.Time) bool {
+	if k.held.Number < k.highest {
+		return false
+	}
+	if k.off == majorityOfDataCentre {
+		return true
+	}
+	return 2*k.idleNeighbours(now) > max(1, len(k.neighbours))
+}
+
+func (k *Keeper) idleNeighbours(now time.Time) int {
+	n := 1
+	for name, asked := range k.idle {
+		if name != k.Self && k.neighbours[name] && now.Sub(asked) <= answerLife {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting tells why the node does not serve; it is empty if it does.
+func (k *Keeper) Waiting(now time.Time) string {
+	switch {
+	case k.confirmed:
+		return ""
+	case k.held.Number == 0:
+		return "no configuration yet"
+	case k.held.Number < k.highest:
+		return fmt.Sprintf("revision %d is held, a serving peer has %d", k.held.Number, k.highest)
+	default:
+		return fmt.Sprintf("no serving peer confirmed revision %d; %d of %d VMs of the data centre do not serve either",
+			k.held.Number, k.idleNeighbours(now), max(1, len(k.neighbours)))
+	}
+}
+
+// Paused notes that the process did not run for a time that ended now. After
+// more than PauseLimit the node must ask a peer before it serves again.
+func (k *Keeper) Paused(now time.Time, length time.Duration) {
+	if length <= PauseLimit || k.off == confirmAfterPause {
+		return
+	}
+	k.since = now
+	k.confirmed = false
+	clear(k.idle)
+}
--- /dev/null
+++ b/lib/decision/revision/keeper_test.go
@@ -0,0 +1,71 @@
+package revision
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/golden"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func rev(number uint64, digest byte) config.Revision {
+	return config.Revision{Number: number, Digest: [32]byte{digest}}
+}
+
+// TestJudgements guards against a revision that is put in force although it is
+// older, forked or invalid, and against one that is refused without a reason.
+func TestJudgements(t *testing.T) {
+	var b strings.Builder
+	k := &Keeper{Self: "a", Started: epoch}
+	neighbours := []string{"a", "b", "c"}
+	offer := func(what string, r config.Revision, from Source, fault error) {
+		v := k.Offer(epoch, r, from, neighbours, fault)
+		force, ok := k.InForce()
+		fmt.Fprintf(&b, "%s: %s %q; held %d, in force %d %v\n", what, v.Judgement, v.Reason, k.Held().Number, force.Number, ok)
+	}
+	platform, peer := Source{Name: "platform"}, Source{Name: "b", Serving: true}
+	offer("stale platform after the start", rev(3, 1), platform, nil)
+	offer("platform forks what is held", rev(3, 2), platform, nil)
+	offer("serving peer has the number with another digest", rev(3, 3), peer, nil)
+	answer := func(what string, a Answer) {
+		k.Confirm(epoch.Add(time.Second), a)
+		fmt.Fprintf(&b, "%s: %q\n", what, k.Waiting(epoch.Add(time.Second)))
+	}
+	asked := epoch.Add(time.Millisecond)
+	answer("peer idle", Answer{Peer: "x", Asked: asked})
+	answer("peer serves more", Answer{Peer: "b", Asked: asked, Revision: rev(7, 1), Serving: true})
+	answer("neighbours idle", Answer{Peer: "c", Asked: asked})
+	answer("same revision, asked before the start", Answer{Peer: "b", Asked: epoch.Add(-1), Revision: rev(3, 3), Serving: true})
+	offer("fetched from the peer", rev(7, 1), peer, nil)
+	answer("peer serves the same", Answer{Peer: "b", Asked: asked, Revision: rev(7, 1), Serving: true})
+	offer("older", rev(6, 1), platform, nil)
+	offer("fork", rev(7, 2), peer, nil)
+	offer("invalid", rev(8, 1), platform, errors.New("rules:1:1: unknown key"))
+	offer("invalid again", rev(8, 1), peer, nil)
+	offer("same again", rev(7, 1), platform, nil)
+	offer("newer", rev(9, 1), platform, nil)
+	k.Paused(epoch.Add(time.Minute), PauseLimit)
+	fmt.Fprintf(&b, "after a short pause: %q\n", k.Waiting(epoch))
+	k.Paused(epoch.Add(time.Minute), PauseLimit+1)
+	fmt.Fprintf(&b, "after a long pause: %q\n", k.Waiting(epoch))
+	golden.Check(t, "judgements", b.String())
+}
+
+// TestRejectedBound guards against memory that grows with each invalid
+// revision.
+func TestRejectedBound(t *testing.T) {
+	is := is.New(t)
+	k := &Keeper{Self: "a", Started: epoch}
+	for n := range uint64(10 * maxRejected) {
+		k.Offer(epoch, rev(n+1, 1), Source{}, nil, errors.New("invalid"))
+	}
+	is.Equal(len(k.rejected), maxRejected)
+	is.Equal(len(k.order), maxRejected)
+}
