Spread each accepted configuration from node to node

Cause: every node read the platform itself, served as soon as it had any configuration, and could not start while the platform was away.

Change: the service config owns the documents. Compiling has a goroutine of its own. The list of VMs spreads the same way. The front end refuses while the node does not serve.

--- a/lib/service/admin/admin.go
+++ b/lib/service/admin/admin.go
@@ -44,9 +44,8 @@
 
 // State is the state of a node, as operators see it.
 type State struct {
-	VM       string `json:"vm"`
-	Revision uint64 `json:"revision"`
-	Serving  bool   `json:"serving"`
+	VM string `json:"vm"`
+	configservice.State
 }
 
 // Bind implements kernel.Service.
@@ -87,16 +86,12 @@
 }
 
 func (s *Service) current() State {
-	st := State{VM: s.VM}
-	if c := s.config.Current(); c != nil {
-		st.Revision, st.Serving = c.Revision.Number, true
-	}
-	return st
+	return State{VM: s.VM, State: s.config.State()}
 }
 
 func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
-	if !s.current().Serving {
-		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	if st := s.current(); !st.Serving {
+		http.Error(w, "not serving: "+st.Waiting, http.StatusServiceUnavailable)
 		return
 	}
 	fmt.Fprintln(w, "serving")
--- /dev/null
+++ b/lib/service/config/compile.go
@@ -0,0 +1,38 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/revision"
+	"cassiarack.example/lib/ring"
+)
+
+// job is content to decode and compile.
+type job struct {
+	content *Content
+	from    origin
+	call    *ring.Call[*Content, revision.Verdict]
+}
+
+// compile decodes and compiles content until ctx is done. It runs on a
+// goroutine of its own, as a configuration of 10 MB takes longer than other
+// nodes wait for an answer of the duty.
+func (s *Service) compile(ctx context.Context) {
+	for {
+		j, err := s.jobs.Take(ctx)
+		if err != nil {
+			return
+		}
+		start := time.Now()
+		documents := make(map[string][]byte, len(j.content.Documents))
+		for name, d := range j.content.Documents {
+			documents[name] = d.Text
+		}
+		conf, err := config.Decode(j.content.Revision, documents)
+		if s.commands.Put(ctx, compiled{job: j, conf: conf, err: err, took: time.Since(start)}) != nil {
+			return
+		}
+	}
+}
--- a/lib/service/config/config.go
+++ b/lib/service/config/config.go
@@ -1,55 +1,245 @@
-// Package config is the service that owns the configuration in force.
 package config
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/revision"
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/platform"
 	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/wire"
 )
 
-// ringSize bounds the configurations that wait to be put in force.
-const ringSize = 16
+const (
+	// commandRing bounds the commands that wait for the duty.
+	commandRing = 1024
+	// adoptedRing bounds the adopted revisions that wait to be announced.
+	adoptedRing = 16
+	// tick is how often the duty checks the time. It is short against
+	// revision.PauseLimit, so that a pause is noticed.
+	tick = 100 * time.Millisecond
+)
 
 // Service owns the configuration in force.
 type Service struct {
-	// Log receives changes and refusals.
+	// VM and DataCentre are the node's own.
+	VM         string
+	DataCentre string
+	// Asked are nodes that are asked while the node does not serve.
+	Asked []netip.AddrPort
+	// Random is the random source of the duty.
+	Random *rand.Rand
+	// Log receives changes and rejections.
 	Log *log.Logger
 
-	offers  *ring.Ring[*config.Configuration]
-	current atomic.Pointer[config.Configuration]
+	commands *ring.Ring[command]
+	jobs     *ring.Ring[job]
+	pulls    *ring.Ring[pull]
+	asks     *ring.Ring[ask]
+	adopted  *ring.Ring[config.Revision]
+	// transfers holds an item for each transfer to another node.
+	transfers *ring.Ring[struct{}]
+	snapshot  atomic.Pointer[snapshot]
+	alive     atomic.Pointer[time.Time]
+	peers     *peers.Service
+	scope     tally.Scope
+	duty      duty
 }
 
 // Bind implements kernel.Service.
-func (s *Service) Bind(*kernel.Directory) error {
-	s.offers = ring.New[*config.Configuration](ringSize)
-	return nil
+func (s *Service) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.peers, err = kernel.Find[*peers.Service](dir, service.Peers); err != nil {
+		return err
+	}
+	m, err := kernel.Find[*metrics.Service](dir, service.Metrics)
+	if err != nil {
+		return err
+	}
+	s.scope = m.Scope().SubScope("config")
+	s.commands = ring.New[command](commandRing)
+	s.jobs = ring.New[job](1)
+	s.pulls = ring.New[pull](1)
+	s.asks = ring.New[ask](askRing)
+	s.adopted = ring.New[config.Revision](adoptedRing)
+	s.transfers = ring.New[struct{}](maxTransfers)
+	s.duty.keeper = revision.Keeper{Self: s.VM}
+	s.snapshot.Store(&snapshot{waiting: "no configuration yet"})
+	return wire.DRPCRegisterFleet(s.peers.Mux(), &giver{s: s})
+}
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	s.duty.keeper.Started = time.Now()
+	s.duty.seen = time.Now()
+	var others sync.WaitGroup
+	others.Go(func() { s.compile(ctx) })
+	others.Go(func() { s.receive(ctx) })
+	for range askers {
+		others.Go(func() { s.exchange(ctx) })
+	}
+	d := ring.Duty[command]{Ring: s.commands, Interval: tick, Handle: s.handle, Tick: s.tick}
+	err := d.Run(ctx)
+	others.Wait()
+	return err
 }
 
 // Current returns the configuration in force, or nil before the first.
-func (s *Service) Current() *config.Configuration { return s.current.Load() }
+func (s *Service) Current() *config.Configuration {
+	if sn := s.snapshot.Load(); sn.inForce {
+		return sn.conf
+	}
+	return nil
+}
 
-// Offer proposes a configuration. It is put in force only if it is newer.
-func (s *Service) Offer(ctx context.Context, c *config.Configuration) error {
-	return s.offers.Put(ctx, c)
+// Known returns the configuration that the node holds, in force or not, or nil.
+// It tells which other nodes exist, and must not decide about requests.
+func (s *Service) Known() *config.Configuration { return s.snapshot.Load().conf }
+
+// Content returns the documents that the node holds, or nil.
+func (s *Service) Content() *Content { return s.snapshot.Load().content }
+
+// Serving reports whether the node may serve. A node that just woke from a
+// pause does not, even before the duty noticed the pause.
+func (s *Service) Serving() bool {
+	return s.snapshot.Load().serving && !s.paused(time.Now())
 }
 
-// Run implements kernel.Service.
-func (s *Service) Run(ctx context.Context) error {
-	d := ring.Duty[*config.Configuration]{Ring: s.offers, Handle: s.adopt}
-	return d.Run(ctx)
+func (s *Service) paused(now time.Time) bool {
+	last := s.alive.Load()
+	return last == nil || gap(*last, now) > revision.PauseLimit
+}
+
+// gap is the time between two instants by the monotonic or the wall clock,
+// whichever is longer, as the monotonic clock stands still while a VM is
+// suspended.
+func gap(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
+// Adopted returns the ring of revisions put in force, for the service that
+// announces them. When nobody takes them, the oldest are dropped.
+func (s *Service) Adopted() *ring.Ring[config.Revision] { return s.adopted }
+
+// Heard takes the revision of another node. The service fetches it if it is to
+// be put in force. Heard never waits for the duty; it returns an error of
+// package ring if the duty is behind.
+func (s *Service) Heard(_ context.Context, vm string, node netip.AddrPort, rev config.Revision, serving bool) error {
+	return s.commands.Offer(heard{vm: vm, node: node, rev: rev, serving: serving})
+}
+
+// Judge returns what Offer would decide about a revision of the platform with
+// valid content. A rejection is recorded.
+func (s *Service) Judge(ctx context.Context, rev config.Revision) (revision.Verdict, error) {
+	call := ring.NewCall[config.Revision, revision.Verdict](rev)
+	if err := s.commands.Put(ctx, judge{call}); err != nil {
+		return revision.Verdict{}, err
+	}
+	return call.Wait(ctx)
+}
+
+// Offer proposes a revision that was read from the platform and returns the
+// verdict on it.
+func (s *Service) Offer(ctx context.Context, c *Content) (revision.Verdict, error) {
+	call := ring.NewCall[*Content, revision.Verdict](c)
+	if err := s.commands.Put(ctx, offer{content: c, from: fromPlatform, call: &call}); err != nil {
+		return revision.Verdict{}, err
+	}
+	return call.Wait(ctx)
+}
+
+// OfferList proposes a list of VMs that was read from the platform.
+func (s *Service) OfferList(ctx context.Context, l *platform.VMList) error {
+	return s.commands.Put(ctx, listed{newList(l)})
+}
+
+// List returns the newest list of VMs that the node knows, or nil.
+func (s *Service) List() *List { return s.snapshot.Load().list }
+
+// State returns what operators see.
+func (s *Service) State() State {
+	sn := s.snapshot.Load()
+	st := State{Serving: s.Serving(), Waiting: sn.waiting, Rejections: sn.rejections}
+	if sn.serving && !st.Serving {
+		st.Waiting = "the process was paused"
+	}
+	if sn.content != nil {
+		st.Held = sn.content.Revision.Number
+	}
+	if c := s.Current(); c != nil {
+		st.Revision = c.Revision.Number
+	}
+	if sn.list != nil {
+		st.List = sn.list.Number
+	}
+	return st
+}
+
+// State is the state of the configuration, as operators see it.
+type State struct {
+	// Revision is in force; Held may be a later one that waits to be.
+	Revision uint64 `json:"revision"`
+	Held     uint64 `json:"held"`
+	Serving  bool   `json:"serving"`
+	// Waiting tells why the node does not serve.
+	Waiting string `json:"waiting,omitempty"`
+	// List is the number of the list of VMs.
+	List uint64 `json:"list"`
+	// Rejections are the last revisions that were not put in force.
+	Rejections []Rejection `json:"rejections,omitempty"`
+}
+
+// Rejection is a revision that was not put in force.
+type Rejection struct {
+	First    time.Time          `json:"first"`
+	Last     time.Time          `json:"last"`
+	Count    int                `json:"count"`
+	Revision uint64             `json:"revision"`
+	Digest   string             `json:"digest"`
+	Source   string             `json:"source"`
+	Verdict  revision.Judgement `json:"verdict"`
+	Reason   string             `json:"reason"`
+}
+
+// platformName is the source name of what the platform published.
+const platformName = "platform"
+
+var fromPlatform = origin{source: revision.Source{Name: platformName}}
+
+// origin is where a revision comes from; node is not valid for the platform.
+type origin struct {
+	source revision.Source
+	node   netip.AddrPort
+}
+
+// snapshot is the state that the duty publishes.
+type snapshot struct {
+	content    *Content
+	conf       *config.Configuration
+	inForce    bool
+	serving    bool
+	waiting    string
+	earlier    *earlier
+	list       *List
+	rejections []Rejection
 }
 
-func (s *Service) adopt(_ time.Time, c *config.Configuration) {
-	cur := s.current.Load()
-	if cur != nil && c.Revision.Number <= cur.Revision.Number {
-		return
+// held returns the revision of the content; its number is 0 for none.
+func (s *snapshot) held() config.Revision {
+	if s.content == nil {
+		return config.Revision{}
 	}
-	s.current.Store(c)
-	s.Log.Info("Configuration in force.", "revision", c.Revision.Number)
+	return s.content.Revision
 }
--- /dev/null
+++ b/lib/service/config/duty.go
@@ -0,0 +1,355 @@
+package config
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/revision"
+	"cassiarack.example/lib/ring"
+)
+
+const (
+	// askInterval is how often a node that does not serve asks other nodes.
+	askInterval = 250 * time.Millisecond
+	// askedNeighbours and askedPeers are how many nodes it asks each time: VMs
+	// of its data centre, and nodes of its settings. At the target a data centre
+	// has 275 VMs, of which half answer within 10 rounds.
+	askedNeighbours = 16
+	askedPeers      = 4
+	// announced is the number of nodes that are told of a new revision. Each
+	// of them tells as many, so that 3,300 nodes take about six rounds.
+	announced = 4
+	// repairInterval is how often a node exchanges revisions with a random VM,
+	// which repairs lost announcements.
+	repairInterval = time.Second
+	// maxSources bounds the remembered sources of a wanted revision.
+	maxSources = 8
+	// maxRejections bounds the rejections shown to operators.
+	maxRejections = 16
+)
+
+// command is a command to the duty.
+type command interface {
+	apply(now time.Time, s *Service)
+}
+
+// duty is the state that belongs to the duty's goroutine.
+type duty struct {
+	keeper  revision.Keeper
+	content *Content
+	conf    *config.Configuration
+	earlier *earlier
+	list    *List
+	inForce uint64
+	// seen is when the duty last ran, asked and repaired the last rounds.
+	seen, asked, repaired time.Time
+
+	// sources are nodes that have the wanted revision.
+	wanted  config.Revision
+	sources []source
+	pulling bool
+	// compiling is set while a job is at the compiler; next follows it.
+	compiling *job
+	next      *job
+
+	rejections []Rejection
+}
+
+// source is a node that has a revision.
+type source struct {
+	vm      string
+	node    netip.AddrPort
+	serving bool
+}
+
+func (s *Service) handle(now time.Time, c command) {
+	s.observe(now)
+	c.apply(now, s)
+	s.publish(now)
+}
+
+func (s *Service) tick(now time.Time) {
+	s.observe(now)
+	d := &s.duty
+	serving := d.keeper.MayServe(now)
+	if !serving && now.Sub(d.asked) >= askInterval {
+		d.asked = now
+		s.ask()
+	}
+	if now.Sub(d.repaired) >= repairInterval {
+		d.repaired = now
+		s.tell(1)
+	}
+	s.pull()
+	s.publish(now)
+}
+
+// observe notes a pause of the process.
+func (s *Service) observe(now time.Time) {
+	d := &s.duty
+	if length := gap(d.seen, now); length > revision.PauseLimit {
+		s.Log.Warn("Process was paused.", "for", length)
+		s.scope.Counter("pauses").Inc(1)
+		d.keeper.Paused(now, length)
+	}
+	d.seen = now
+}
+
+// publish makes the state visible to other goroutines.
+func (s *Service) publish(now time.Time) {
+	d := &s.duty
+	serving := d.keeper.MayServe(now)
+	_, inForce := d.keeper.InForce()
+	sn := &snapshot{content: d.content, conf: d.conf, inForce: inForce, serving: serving,
+		waiting: d.keeper.Waiting(now), earlier: d.earlier, list: d.list, rejections: d.rejections}
+	old := s.snapshot.Swap(sn)
+	s.alive.Store(&now)
+	if serving != old.serving {
+		s.Log.Info("Serving changed.", "serving", serving, "waiting", sn.waiting)
+	}
+	if inForce && d.conf.Revision.Number > d.inForce {
+		d.inForce = d.conf.Revision.Number
+		s.Log.Info("Configuration in force.", "revision", d.inForce)
+		s.scope.Gauge("revision").Update(float64(d.inForce))
+		s.announce(d.conf.Revision)
+	}
+}
+
+// announce tells other nodes and the service that spreads revisions further.
+func (s *Service) announce(rev config.Revision) {
+	for s.adopted.Offer(rev) != nil {
+		if _, err := s.adopted.Take(ended); err != nil {
+			break
+		}
+	}
+	s.tell(announced)
+}
+
+// heard is the revision of another node.
+type heard struct {
+	vm      string
+	node    netip.AddrPort
+	rev     config.Revision
+	serving bool
+}
+
+func (h heard) apply(now time.Time, s *Service) {
+	if h.rev.Number == 0 {
+		return
+	}
+	d := &s.duty
+	d.keeper.Heard(h.rev, h.serving)
+	from := origin{source: revision.Source{Name: h.vm, Serving: h.serving}, node: s.address(h.vm, h.node)}
+	v := d.keeper.Judge(h.rev, from.source)
+	switch v.Judgement {
+	case revision.Accepted:
+		s.want(h.rev, source{vm: h.vm, node: from.node, serving: h.serving})
+	case revision.Forked:
+		s.record(now, h.rev, h.vm, v)
+	}
+}
+
+// address returns the address of a node; the register decides if the node did
+// not state one.
+func (s *Service) address(vm string, node netip.AddrPort) netip.AddrPort {
+	if node.IsValid() || s.duty.conf == nil {
+		return node
+	}
+	if v, ok := s.duty.conf.VMs[vm]; ok {
+		return v.Node
+	}
+	return node
+}
+
+// want remembers where a revision can be fetched and starts to fetch it.
+func (s *Service) want(rev config.Revision, from source) {
+	d := &s.duty
+	if !from.node.IsValid() || rev.Number < d.wanted.Number {
+		return
+	}
+	if rev != d.wanted {
+		d.wanted, d.sources = rev, nil
+	}
+	for _, o := range d.sources {
+		if o.vm == from.vm {
+			return
+		}
+	}
+	if len(d.sources) < maxSources {
+		d.sources = append(d.sources, from)
+	}
+	s.pull()
+}
+
+// pull starts a transfer if a revision is wanted and none is under way.
+func (s *Service) pull() {
+	d := &s.duty
+	if d.pulling || len(d.sources) == 0 {
+		return
+	}
+	from := d.sources[0]
+	d.sources = d.sources[1:]
+	busy := d.compiling != nil && d.compiling.content.Revision == d.wanted
+	judged := d.keeper.Judge(d.wanted, revision.Source{Name: from.vm, Serving: from.serving})
+	if busy || judged.Judgement != revision.Accepted {
+		d.sources = nil
+		return
+	}
+	d.pulling = s.pulls.Offer(pull{rev: d.wanted, from: from, have: d.content}) == nil
+}
+
+// pulled is the end of a transfer.
+type pulled struct {
+	content *Content
+	from    source
+	err     error
+}
+
+func (p pulled) apply(now time.Time, s *Service) {
+	s.duty.pulling = false
+	if p.err != nil {
+		s.Log.Info("Fetch failed.", "vm", p.from.vm, "err", p.err)
+		s.scope.Counter("fetch_failed").Inc(1)
+		s.pull()
+		return
+	}
+	s.scope.Counter("fetched").Inc(1)
+	from := origin{source: revision.Source{Name: p.from.vm, Serving: p.from.serving}, node: p.from.node}
+	offer{content: p.content, from: from}.apply(now, s)
+}
+
+// judge asks about a revision before its documents are read.
+type judge struct {
+	call ring.Call[config.Revision, revision.Verdict]
+}
+
+func (j judge) apply(now time.Time, s *Service) {
+	v := s.duty.keeper.Judge(j.call.Query, fromPlatform.source)
+	s.record(now, j.call.Query, platformName, v)
+	j.call.Reply(v)
+}
+
+// offer proposes documents.
+type offer struct {
+	content *Content
+	from    origin
+	call    *ring.Call[*Content, revision.Verdict]
+}
+
+func (o offer) apply(now time.Time, s *Service) {
+	d := &s.duty
+	v := d.keeper.Judge(o.content.Revision, o.from.source)
+	if v.Judgement != revision.Accepted {
+		s.settle(now, &job{content: o.content, from: o.from, call: o.call}, v)
+		return
+	}
+	j := &job{content: o.content, from: o.from, call: o.call}
+	switch {
+	case d.compiling == nil:
+		d.compiling = j
+		// The ring has room, as one job is out at a time.
+		_ = s.jobs.Offer(*j)
+	case d.next == nil || d.next.content.Revision.Number < j.content.Revision.Number:
+		if d.next != nil {
+			s.settle(now, d.next, revision.Verdict{Judgement: revision.Older, Reason: "a newer revision came"})
+		}
+		d.next = j
+	default:
+		s.settle(now, j, revision.Verdict{Judgement: revision.Older, Reason: "a newer revision came"})
+	}
+}
+
+// settle ends a job with a verdict.
+func (s *Service) settle(now time.Time, j *job, v revision.Verdict) {
+	s.record(now, j.content.Revision, j.from.source.Name, v)
+	if j.call != nil {
+		j.call.Reply(v)
+	}
+}
+
+// compiled is the end of a job.
+type compiled struct {
+	job  job
+	conf *config.Configuration
+	err  error
+	took time.Duration
+}
+
+func (c compiled) apply(now time.Time, s *Service) {
+	d := &s.duty
+	d.compiling = nil
+	s.scope.Timer("compile").Record(c.took)
+	v := d.keeper.Offer(now, c.job.content.Revision, c.job.from.source, s.neighbours(c.conf), c.err)
+	if v.Judgement == revision.Accepted {
+		d.earlier = d.earlier.add(d.content, c.job.content)
+		d.content, d.conf = c.job.content, c.conf
+		s.Log.Info("Configuration read.", "revision", d.conf.Revision.Number, "from", c.job.from.source.Name,
+			"compiled", c.took)
+	}
+	s.settle(now, &c.job, v)
+	if d.next != nil {
+		next := d.next
+		d.next = nil
+		offer{content: next.content, from: next.from, call: next.call}.apply(now, s)
+	}
+	if v.Judgement == revision.Accepted && !d.keeper.MayServe(now) {
+		s.ask()
+	}
+}
+
+// neighbours returns the VMs of the node's data centre.
+func (s *Service) neighbours(c *config.Configuration) []string {
+	if c == nil {
+		return nil
+	}
+	var out []string
+	for _, v := range c.VMs {
+		if v.DataCentre == s.DataCentre {
+			out = append(out, v.Name)
+		}
+	}
+	return out
+}
+
+// record makes a rejection visible. What a peer holds is only recorded if it is
+// invalid or a fork, as nodes that are behind are usual.
+func (s *Service) record(now time.Time, rev config.Revision, from string, v revision.Verdict) {
+	if !v.Rejected() || v.Judgement == revision.Older && from != platformName {
+		return
+	}
+	s.scope.Tagged(map[string]string{"verdict": string(v.Judgement)}).Counter("rejected").Inc(1)
+	digest := hex.EncodeToString(rev.Digest[:8])
+	out := make([]Rejection, 0, maxRejections)
+	for _, r := range s.duty.rejections {
+		if r.Revision == rev.Number && r.Digest == digest && r.Source == from && r.Verdict == v.Judgement {
+			r.Count++
+			r.Last = now
+			digest = ""
+		}
+		out = append(out, r)
+	}
+	if digest != "" {
+		s.Log.Error("Revision rejected.", "revision", rev.Number, "digest", digest, "source", from,
+			"verdict", v.Judgement, "reason", v.Reason)
+		out = append(out, Rejection{First: now, Last: now, Count: 1, Revision: rev.Number, Digest: digest,
+			Source: from, Verdict: v.Judgement, Reason: v.Reason})
+	}
+	s.duty.rejections = out[max(0, len(out)-maxRejections):]
+}
+
+// listed is a list of VMs.
+type listed struct {
+	list *List
+}
+
+func (l listed) apply(_ time.Time, s *Service) {
+	d := &s.duty
+	if d.list != nil && l.list.Number <= d.list.Number {
+		return
+	}
+	d.list = l.list.follow(d.list)
+	s.Log.Info("List of VMs.", "number", d.list.Number, "VMs", len(d.list.states))
+	s.tell(announced)
+}
--- /dev/null
+++ b/lib/service/config/exchange.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/revision"
+	"cassiarack.example/lib/wire"
+)
+
+const (
+	// askers is the number of goroutines that ask other nodes, so that nodes
+	// which do not answer delay only some of the questions.
+	askers = 8
+	// askRing bounds the questions that wait. A question that finds the ring
+	// full is asked again in a later round.
+	askRing = 64
+	// askTimeout bounds a question and its answer.
+	askTimeout = time.Second
+)
+
+// ended is a context that is done, for a Take that must not wait.
+var ended = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
+// ask is a node to exchange revisions with.
+type ask struct {
+	node netip.AddrPort
+}
+
+// ask asks nodes of the settings and of the data centre.
+func (s *Service) ask() {
+	for _, i := range s.Random.Perm(len(s.Asked))[:min(askedPeers, len(s.Asked))] {
+		s.question(s.Asked[i])
+	}
+	s.tellSome(askedNeighbours, func(v *config.VM) bool { return v.DataCentre == s.DataCentre })
+	s.tell(1)
+}
+
+// tell exchanges revisions with n random VMs.
+func (s *Service) tell(n int) { s.tellSome(n, func(*config.VM) bool { return true }) }
+
+func (s *Service) tellSome(n int, want func(*config.VM) bool) {
+	if s.duty.conf == nil {
+		return
+	}
+	var nodes []netip.AddrPort
+	seen := 0
+	// Reservoir sampling draws n VMs evenly without a copy of all of them.
+	for _, v := range s.duty.conf.VMs {
+		if v.Name == s.VM || !want(v) {
+			continue
+		}
+		seen++
+		if len(nodes) < n {
+			nodes = append(nodes, v.Node)
+		} else if i := s.Random.IntN(seen); i < n {
+			nodes[i] = v.Node
+		}
+	}
+	for _, a := range nodes {
+		s.question(a)
+	}
+}
+
+func (s *Service) question(node netip.AddrPort) {
+	if s.asks.Offer(ask{node}) != nil {
+		s.scope.Counter("asks_dropped").Inc(1)
+	}
+}
+
+// exchange asks other nodes until ctx is done.
+func (s *Service) exchange(ctx context.Context) {
+	for {
+		a, err := s.asks.Take(ctx)
+		if err != nil {
+			return
+		}
+		if err := s.askNode(ctx, a.node); err != nil && ctx.Err() == nil {
+			s.scope.Counter("asks_failed").Inc(1)
+			s.Log.Debug("Question failed.", "node", a.node, "err", err)
+		}
+	}
+}
+
+func (s *Service) askNode(ctx context.Context, node netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := time.Now()
+	client := wire.NewDRPCFleetClient(s.peers.Conn(ctx, node))
+	sn := s.snapshot.Load()
+	r, err := client.Confirm(ctx, &wire.ConfirmRequest{Name: s.VM, Revision: toRevision(sn.held()), Serving: s.Serving(),
+		List: sn.listNumber()})
+	if err != nil {
+		return err
+	}
+	a := answered{node: node, answer: revision.Answer{Peer: r.GetName(), Asked: asked,
+		Revision: fromRevision(r.GetRevision()), Serving: r.GetServing()}}
+	if err := s.commands.Offer(a); err != nil {
+		return err
+	}
+	if r.GetList() <= sn.listNumber() {
+		return nil
+	}
+	l, err := client.List(ctx, &wire.ListRequest{After: sn.listNumber()})
+	if err != nil {
+		return err
+	}
+	return s.commands.Offer(listed{sn.list.apply(l)})
+}
+
+// answered is the answer to a question.
+type answered struct {
+	node   netip.AddrPort
+	answer revision.Answer
+}
+
+func (a answered) apply(now time.Time, s *Service) {
+	s.duty.keeper.Confirm(now, a.answer)
+	heard{vm: a.answer.Peer, node: a.node, rev: a.answer.Revision, serving: a.answer.Serving}.apply(now, s)
+}
+
+func (s *snapshot) listNumber() uint64 {
+	if s.list == nil {
+		return 0
+	}
+	return s.list.Number
+}
+
+func toRevision(r config.Revision) *wire.Revision {
+	if r.Number == 0 {
+		return nil
+	}
+	return &wire.Revision{Number: r.Number, Digest: r.Digest[:]}
+}
+
+// fromRevision returns the revision of a message. A digest of another length
+// counts as no revision.
+func fromRevision(r *wire.Revision) config.Revision {
+	out := config.Revision{Number: r.GetNumber()}
+	if copy(out.Digest[:], r.GetDigest()) != len(out.Digest) || len(r.GetDigest()) != len(out.Digest) {
+		return config.Revision{}
+	}
+	return out
+}
--- /dev/null
+++ b/lib/service/config/receiver.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/delta"
+	"cassiarack.example/lib/platform"
+	"cassiarack.example/lib/wire"
+)
+
+const (
+	// fetchTimeout bounds a transfer. What was received is kept, so that the
+	// next transfer goes on from there.
+	fetchTimeout = 30 * time.Second
+	// maxDocuments bounds the documents of a manifest of another node.
+	maxDocuments = 1024
+	// maxStash bounds the documents kept from transfers that failed, in bytes.
+	maxStash = 64 << 20
+)
+
+// pull is a revision to fetch from another node.
+type pull struct {
+	rev  config.Revision
+	from source
+	have *Content
+}
+
+// receiver is the state of the goroutine that fetches documents.
+type receiver struct {
+	s *Service
+	// stash holds complete documents of transfers that failed.
+	stash map[string]Document
+	// partial is a document received in part.
+	partial struct {
+		name   string
+		digest delta.Digest
+		text   []byte
+	}
+}
+
+// receive fetches documents until ctx is done, one transfer at a time.
+func (s *Service) receive(ctx context.Context) {
+	r := &receiver{s: s, stash: make(map[string]Document)}
+	for {
+		p, err := s.pulls.Take(ctx)
+		if err != nil {
+			return
+		}
+		content, err := r.fetch(ctx, p)
+		if s.commands.Put(ctx, pulled{content: content, from: p.from, err: err}) != nil {
+			return
+		}
+	}
+}
+
+func (r *receiver) fetch(ctx context.Context, p pull) (*Content, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	stream, err := wire.NewDRPCFleetClient(r.s.peers.Conn(ctx, p.from.node)).Fetch(ctx, r.request(p))
+	if err != nil {
+		return nil, fmt.Errorf("fetch revision %d: %w", p.rev.Number, err)
+	}
+	defer func() {
+		if err := stream.Close(); err != nil {
+			r.s.Log.Debug("Transfer closed.", "err", err)
+		}
+	}()
+	part, err := stream.Recv()
+	if err != nil {
+		return nil, fmt.Errorf("fetch revision %d: %w", p.rev.Number, err)
+	}
+	m := fromManifest(part.GetManifest())
+	if err := r.checkManifest(p, part.GetManifest(), m); err != nil {
+		return nil, err
+	}
+	for {
+		part, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, fmt.Errorf("fetch revision %d: %w", m.Revision, err)
+		}
+		if err := r.take(p, m, part.GetDelta()); err != nil {
+			return nil, fmt.Errorf("fetch revision %d: %w", m.Revision, err)
+		}
+	}
+	return r.finish(p, m)
+}
+
+// request names what this node has.
+func (r *receiver) request(p pull) *wire.FetchRequest {
+	out := &wire.FetchRequest{Wanted: p.rev.Number, PartialName: r.partial.name,
+		PartialSize: int64(len(r.partial.text)), PartialDigest: r.partial.digest[:]}
+	add := func(name string, d Document) {
+		out.Held = append(out.Held, &wire.Document{Name: name, Size: int64(len(d.Text)), Digest: d.Digest[:]})
+	}
+	if p.have != nil {
+		for name, d := range p.have.Documents {
+			if _, ok := r.stash[name]; !ok {
+				add(name, d)
+			}
+		}
+	}
+	for name, d := range r.stash {
+		add(name, d)
+	}
+	return out
+}
+
+func (r *receiver) checkManifest(p pull, w *wire.Manifest, m *platform.Manifest) error {
+	rev := fromRevision(w.GetRevision())
+	switch {
+	case rev.Number < p.rev.Number || rev.Digest != m.Digest():
+		return fmt.Errorf("fetch revision %d: manifest of revision %d is not valid", p.rev.Number, rev.Number)
+	case len(m.Documents) > maxDocuments:
+		return fmt.Errorf("fetch revision %d: %d documents", p.rev.Number, len(m.Documents))
+	}
+	return nil
+}
+
+// take takes a delta or a piece of a document.
+func (r *receiver) take(p pull, m *platform.Manifest, d *wire.Delta) error {
+	digest, ok := digestOf(m, d.GetName())
+	if !ok {
+		return fmt.Errorf("document %q is not in the manifest", d.GetName())
+	}
+	if len(d.GetBase()) > 0 {
+		return r.applyDelta(p, digest, d)
+	}
+	if r.partial.name != d.GetName() || r.partial.digest != digest || d.GetOffset() == 0 {
+		r.partial.name, r.partial.digest, r.partial.text = d.GetName(), digest, nil
+	}
+	if d.GetOffset() != int64(len(r.partial.text)) || len(r.partial.text)+len(d.GetInserted()) > delta.MaxDocument {
+		r.partial.name, r.partial.text = "", nil
+		return fmt.Errorf("document %q: piece at %d does not follow or is too large", d.GetName(), d.GetOffset())
+	}
+	r.partial.text = append(r.partial.text, d.GetInserted()...)
+	if !d.GetLast() {
+		return nil
+	}
+	doc := NewDocument(r.partial.text)
+	r.partial.name, r.partial.text = "", nil
+	if doc.Digest != digest {
+		return fmt.Errorf("document %q: content does not match its digest", d.GetName())
+	}
+	r.keep(d.GetName(), doc)
+	return nil
+}
+
+func (r *receiver) applyDelta(p pull, digest delta.Digest, d *wire.Delta) error {
+	base, ok := r.stash[d.GetName()]
+	if !ok && p.have != nil {
+		base = p.have.Documents[d.GetName()]
+	}
+	dd := delta.Delta{Result: digest, Offset: d.GetOffset(), Removed: d.GetRemoved(), Inserted: d.GetInserted()}
+	copy(dd.Base[:], d.GetBase())
+	text, err := dd.Apply(base.Text)
+	if err != nil {
+		return fmt.Errorf("document %q: %w", d.GetName(), err)
+	}
+	r.keep(d.GetName(), Document{Digest: digest, Text: text})
+	return nil
+}
+
+// keep remembers a document until a transfer is complete.
+func (r *receiver) keep(name string, d Document) {
+	size := len(d.Text)
+	for _, other := range r.stash {
+		size += len(other.Text)
+	}
+	if size > maxStash {
+		clear(r.stash)
+	}
+	r.stash[name] = d
+}
+
+// finish puts the documents of a complete transfer together.
+func (r *receiver) finish(p pull, m *platform.Manifest) (*Content, error) {
+	documents := make(map[string]Document, len(m.Documents))
+	for _, d := range m.Documents {
+		if doc, ok := r.stash[d.Name]; ok && hex.EncodeToString(doc.Digest[:]) == d.SHA256 {
+			documents[d.Name] = doc
+		} else if doc, ok := p.have.Reuse(d); ok {
+			documents[d.Name] = doc
+		}
+	}
+	clear(r.stash)
+	return NewContent(m, documents)
+}
+
+func digestOf(m *platform.Manifest, name string) (delta.Digest, bool) {
+	for _, d := range m.Documents {
+		if d.Name == name {
+			var out delta.Digest
+			n, err := hex.Decode(out[:], []byte(d.SHA256[:min(len(d.SHA256), 2*len(out))]))
+			return out, err == nil && n == len(out)
+		}
+	}
+	return delta.Digest{}, false
+}
--- a/lib/service/front/front.go
+++ b/lib/service/front/front.go
@@ -53,15 +53,24 @@
 	Log *log.Logger
 
 	handoff *handoff.Service
+	config  serving
 	server  *http.Server
 }
 
+// serving tells whether the node may serve.
+type serving interface {
+	Serving() bool
+}
+
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
 	if s.handoff, err = kernel.Find[*handoff.Service](dir, service.Handoff); err != nil {
 		return err
 	}
+	if s.config, err = kernel.Find[serving](dir, service.Config); err != nil {
+		return err
+	}
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	r.NewRoute().HandlerFunc(s.serve)
 	s.server = &http.Server{
@@ -107,6 +116,11 @@
 	defer span.End()
 	span.SetAttributes(attribute.String("method", r.Method), attribute.String("path", r.URL.Path))
 	w.Header().Set(HeaderNode, s.VM)
+	if !s.config.Serving() {
+		writeFailure(w, &request.Failure{Outcome: request.NotRun, Reason: request.ReasonNotServing,
+			Detail: "the node waits until another node confirms its configuration"})
+		return
+	}
 	req, failure := s.request(r, time.Now())
 	if failure != nil {
 		writeFailure(w, failure)
--- a/node/serve.go
+++ b/node/serve.go
@@ -86,22 +86,30 @@
 	return err
 }
 
+// random returns a random source for one service.
+func (n *node) random() *rand.Rand { return rand.New(rand.NewPCG(n.incarnation, rand.Uint64())) }
+
 // registrations lists the services of a node.
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
-	seed := rand.NewPCG(n.incarnation, uint64(os.Getpid()))
 	return []kernel.Registration{
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
 		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
-		{Name: service.Config, Service: &config.Service{Log: n.log("config")}},
 		{
-			Name:    service.Reader,
-			Needs:   []string{service.Config},
-			Service: &reader.Service{Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
+			Name:  service.Config,
+			Needs: []string{service.Peers, service.Metrics},
+			Service: &config.Service{VM: s.Name, DataCentre: s.DataCentre, Asked: s.Peers, Random: n.random(),
+				Log: n.log("config")},
+		},
+		{
+			Name:  service.Reader,
+			Needs: []string{service.Config, service.Metrics},
+			Service: &reader.Service{VM: s.Name, DataCentre: s.DataCentre, Random: n.random(),
+				Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
 		},
 		{
 			Name:    service.Router,
-			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: rand.New(seed)},
+			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: n.random()},
 		},
 		{
 			Name:    service.Gate,
@@ -115,7 +123,7 @@
 		},
 		{
 			Name:  service.Front,
-			Needs: []string{service.Handoff},
+			Needs: []string{service.Handoff, service.Config},
 			Service: &front.Service{Listener: n.listeners.callers, VM: s.Name, Timeout: s.RequestTimeout,
 				Log: n.log("front")},
 		},
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -153,11 +154,25 @@
 	return out, nil
 }
 
+// settingsPeers is the number of other nodes in the settings of a node.
+const settingsPeers = 4
+
+// peers returns the addresses of the next VMs after v.
+func (f *Fleet) peers(v *VM) []netip.AddrPort {
+	var out []netip.AddrPort
+	at := slices.Index(f.VMs, v)
+	for i := 1; i < len(f.VMs) && len(out) < settingsPeers; i++ {
+		out = append(out, f.VMs[(at+i)%len(f.VMs)].Fleet)
+	}
+	return out
+}
+
 // StartNode starts the node of a VM.
 func (f *Fleet) StartNode(v *VM) error {
 	settings, err := json.MarshalIndent(map[string]any{
 		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
 		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress,
+		"peers": f.peers(v),
 	}, "", "  ")
 	if err != nil {
 		return fmt.Errorf("render settings: %w", err)
