--- a/lib/service/admin/admin.go
+++ b/lib/service/admin/admin.go
@@ -49,6 +49,13 @@
 	server  *http.Server
 }
 
+// State is the state of one node in detail.
+type State struct {
+	VM string `json:"vm"`
+	configservice.State
+	Instances []InstanceState `json:"instances"`
+}
+
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
@@ -101,8 +108,8 @@
 }
 
 func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.config.Current() == nil {
-		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	if st := s.config.State(); !st.Serving {
+		http.Error(w, "not serving: "+st.Waiting, http.StatusServiceUnavailable)
 		return
 	}
 	fmt.Fprintln(w, "serving")
@@ -116,7 +123,7 @@
 	}
 	n := NodeState{VM: s.VM}
 	n.fill(reply)
-	s.writeJSON(w, n)
+	s.writeJSON(w, State{VM: s.VM, State: s.config.State(), Instances: n.Instances})
 }
 
 func (s *Service) fleet(w http.ResponseWriter, r *http.Request) {
