Decide which nodes are alive

Cause: nodes need one view of who lives, who leaves and who is dead, at a cost that does not grow with the fleet. Change: lib/decision/member decides membership in the manner of SWIM: incarnations, refutation, indirect checks through three others, leaving, takeover of an address, the platform's list as a hint, self-suspicion of a node that does not hear the others, and probes of dead members so that healed partitions merge.

--- /dev/null
+++ b/lib/decision/member/explore_test.go
@@ -0,0 +1,96 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestExplore guards against members that stay dead though they live, or alive
+// though they died: whatever stops, starts, pauses, cuts and losses happen,
+// all tables agree with reality some time after the last of them.
+func TestExplore(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const n = 7
+		s := newSim(rapid.Uint64().Draw(rt, "seed"), n, 3)
+		s.run(3*time.Second, nil)
+		cut := make(map[[2]int]bool)
+		loss := 0.0
+		s.cut = func(from, to int) bool { return cut[[2]int{from, to}] || s.rng.Float64() < loss }
+		node := rapid.IntRange(0, n-1)
+		rt.Repeat(map[string]func(*rapid.T){
+			"kill":    func(rt *rapid.T) { s.down[node.Draw(rt, "node")] = true },
+			"restart": func(rt *rapid.T) { s.start(node.Draw(rt, "node")) },
+			"resume":  func(rt *rapid.T) { s.down[node.Draw(rt, "node")] = false },
+			"cut":     func(rt *rapid.T) { cut[[2]int{node.Draw(rt, "from"), node.Draw(rt, "to")}] = true },
+			"heal":    func(rt *rapid.T) { clear(cut) },
+			"loss":    func(rt *rapid.T) { loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(rt, "loss") },
+			"gone": func(rt *rapid.T) {
+				list := make(map[string]Hint)
+				gone := node.Draw(rt, "gone")
+				for i, m := range s.register {
+					if i != gone {
+						list[m.Name] = HintLive
+					}
+				}
+				s.tables[node.Draw(rt, "node")].Hint(s.now, list)
+			},
+			"wait": func(rt *rapid.T) {
+				s.run(time.Duration(rapid.IntRange(1, 20).Draw(rt, "seconds"))*time.Second, nil)
+			},
+			"": func(*rapid.T) {},
+		})
+		clear(cut)
+		loss = 0
+		s.down[0] = false
+		s.run(10*time.Minute, s.settled)
+		if !s.settled() {
+			rt.Fatalf("tables differ from reality 10 min after the last fault")
+		}
+	})
+}
+
+// TestRefutation guards against a suspicion that wins over its refutation: the
+// member is suspected in all tables and lives.
+func TestRefutation(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const n = 9
+		s := newSim(rapid.Uint64().Draw(rt, "seed"), n, 3)
+		s.run(3*time.Second, nil)
+		accused := rapid.IntRange(0, n-1).Draw(rt, "accused")
+		state := rapid.SampledFrom([]State{Suspect, Leaving, Dead}).Draw(rt, "state")
+		u := s.tables[accused].self.update()
+		u.State = state
+		for at, tb := range s.tables {
+			if at != accused {
+				tb.apply(s.now, u)
+			}
+		}
+		s.run(2*time.Minute, s.settled)
+		if !s.settled() {
+			rt.Fatalf("member %d is not alive everywhere", accused)
+		}
+	})
+}
+
+// TestCutPair guards against the death of a member whose link from or to one
+// other member is cut, for every pair of a small fleet.
+func TestCutPair(t *testing.T) {
+	const n = 6
+	for a := range n {
+		for b := range n {
+			if a == b {
+				continue
+			}
+			s := newSim(uint64(a*n+b), n, 2)
+			s.cut = func(from, to int) bool { return from == a && to == b }
+			s.run(time.Minute, nil)
+			for i := range n {
+				if s.views(i, Dead) > 0 {
+					t.Errorf("cut from %d to %d: member %d is dead for another", a, b, i)
+				}
+			}
+		}
+	}
+}
