--- a/lib/decision/choice/choice.go
+++ b/lib/decision/choice/choice.go
@@ -28,7 +28,6 @@
 
 // Candidate is an instance that may get the request.
 type Candidate struct {
-	Instance string
 	// Weight is the share of the instance between 0 and 1; 0 excludes it.
 	Weight float64
 	// Slots is the number of requests that the instance runs at once.
@@ -38,9 +37,8 @@
 	Open int
 	// Outstanding counts the requests that the chooser has at the instance.
 	Outstanding int
-	// Running and Waiting are the load that the gate reported at Reported.
-	Running, Waiting int
-	// Others counts the requests of other choosers in that load.
+	// Others counts the requests of other choosers at the instance, as the gate
+	// reported at Reported.
 	Others   int
 	Reported time.Time
 }
--- a/lib/decision/floor/explore_test.go
+++ b/lib/decision/floor/explore_test.go
@@ -174,7 +174,7 @@
 	for _, x := range w.issued {
 		mayRun := x.Token == r.Lease.Token && x.Instance != instance && w.now.Before(x.Until.Add(Transit))
 		restarted := x.Sequence>>32 != r.Lease.Sequence>>32
-		if mayRun && !(e.unheard && restarted && x.Until.Sub(x.Granted) > FirstLease) {
+		if mayRun && (!e.unheard || !restarted || x.Until.Sub(x.Granted) <= FirstLease) {
 			e.fail("token granted while a lease may run", w)
 		}
 	}
--- a/lib/service/admin/state.go
+++ b/lib/service/admin/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -74,9 +75,11 @@
 func (s *Service) Report(ctx context.Context, _ *wire.ReportRequest) (*wire.ReportReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, localTimeout)
 	defer cancel()
-	out := &wire.ReportReply{Vm: s.VM}
-	if c := s.config.Current(); c != nil {
-		out.Revision, out.Serving = c.Revision.Number, true
+	st := s.config.State()
+	out := &wire.ReportReply{Vm: s.VM, Revision: st.Revision, Serving: st.Serving}
+	if n := len(st.Rejections); n > 0 {
+		r := st.Rejections[n-1]
+		out.Refused = fmt.Sprintf("revision %d from %s: %s", r.Revision, r.Source, r.Reason)
 	}
 	occupancy, err := s.gate.Occupancy(ctx)
 	if err != nil {
--- a/lib/service/router/candidates.go
+++ b/lib/service/router/candidates.go
@@ -78,15 +78,3 @@
 	}
 	return x
 }
-
-// explain returns the instances that a request may go to.
-func (s *Service[P]) explain(now time.Time, q Query) []choice.Candidate {
-	cs := &candidates[P]{s: s, now: now, of: s.service(q.Service), exclude: q.Exclude}
-	var out []choice.Candidate
-	for i := range cs.Len() {
-		if x := cs.At(i); x.Weight > 0 {
-			out = append(out, x)
-		}
-	}
-	return out
-}
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -58,7 +58,7 @@
 // command is one command to the duty.
 type command struct {
 	choose  *ring.Call[Query, chosen]
-	explain *ring.Call[Query, []choice.Candidate]
+	explain *ring.Call[Query, []Explained]
 	report  *Report
 	budget  *ring.Call[budgetQuery, Terms]
 }
@@ -92,7 +92,7 @@
 	// Choose returns an instance. Each choice must be followed by a Report.
 	Choose(ctx context.Context, q Query) (*config.Instance, error)
 	// Explain returns the candidates of a query without choosing one.
-	Explain(ctx context.Context, q Query) ([]choice.Candidate, error)
+	Explain(ctx context.Context, q Query) ([]Explained, error)
 	// Report tells the end of an attempt.
 	Report(ctx context.Context, r Report) error
 	Budgets
@@ -132,15 +132,6 @@
 	}
 }
 
-// Explain implements Router.
-func (s *Service[P]) Explain(ctx context.Context, q Query) ([]choice.Candidate, error) {
-	call := ring.NewCall[Query, []choice.Candidate](q)
-	if err := s.commands.Offer(command{explain: &call}); err != nil {
-		return nil, err
-	}
-	return call.Wait(ctx)
-}
-
 // Report implements Router.
 func (s *Service[P]) Report(ctx context.Context, r Report) error {
 	return s.commands.Put(ctx, command{report: &r})
@@ -179,13 +170,10 @@
 func (s *Service[P]) candidate(now time.Time, i *config.Instance) choice.Candidate {
 	p := s.of(i.Name)
 	c := choice.Candidate{
-		Instance:    i.Name,
 		Weight:      1,
 		Slots:       i.Service.Slots,
 		Open:        p.load.Open,
 		Outstanding: p.outstanding,
-		Running:     p.load.Running,
-		Waiting:     p.load.Waiting,
 		Others:      p.others,
 		Reported:    p.reported,
 	}
