Bound the router's state, and close the entry only when gates are full

A request with a very short time left closed the entry for others of its organisation, though gates had room for them. Requests refused at the entry added to the retry budget.

Change: state without use for 10 min is dropped. Only a request that could wait for one run tells that all gates are full. Only requests that are offered to a gate add to the budgets.

Conclusion: the router's memory is bounded by what is in use.

--- a/lib/decision/retry/inflight.go
+++ b/lib/decision/retry/inflight.go
@@ -57,3 +57,6 @@
 		f.weights -= h.weight
 	}
 }
+
+// Idle reports whether no request is on its way.
+func (f *Inflight) Idle() bool { return f.total == 0 }
--- a/lib/service/handoff/moves.go
+++ b/lib/service/handoff/moves.go
@@ -27,6 +27,8 @@
 	gates   int // instances that are not leaving
 	moves   int
 	retries int
+	// patience is the longest wait that the last gate was allowed.
+	patience time.Duration
 	// tried holds the instances that the next move passes over, and failed those
 	// of them that are not tried again.
 	tried  []string
@@ -105,7 +107,8 @@
 // attempt hands the request to the gate of inst, with a hedge if one may be due.
 func (j *journey) attempt(ctx context.Context, inst *config.Instance, m retry.Move) (*request.Answer, *request.Failure) {
 	a := j.newAttempt(ctx, inst)
-	a.patience = m.Patience(j.terms.Expected, time.Until(j.req.Deadline))
+	j.patience = m.Patience(j.terms.Expected, time.Until(j.req.Deadline))
+	a.patience = j.patience
 	if !j.mayHedge() {
 		return a.do()
 	}
@@ -145,9 +148,11 @@
 var fullReasons = map[request.Reason]bool{request.ReasonFull: true, request.ReasonShare: true,
 	request.ReasonQueueWait: true, request.ReasonOverload: true}
 
-// end returns the failure that the caller is told after the last attempt.
+// end returns the failure that the caller is told after the last attempt. A
+// request that could wait for less than one run does not show that the gates are
+// full.
 func (j *journey) end(ctx context.Context, f *request.Failure) *request.Failure {
-	if fullReasons[f.Reason] {
+	if fullReasons[f.Reason] && j.patience >= j.terms.Expected {
 		t, err := j.s.router.Full(context.WithoutCancel(ctx), j.fresh())
 		if err == nil {
 			f.RetryAfter = max(f.RetryAfter, t.Delay)
--- a/lib/service/router/budgets.go
+++ b/lib/service/router/budgets.go
@@ -122,8 +122,7 @@
 	t := Terms{Expected: s.lengths.Expected(now, q.r.Route)}
 	switch q.kind {
 	case fresh:
-		st.retries.Deposit(now)
-		st.hedges.Deposit(now)
+		st.used = now
 		s.begin(now, st, q.r, &t)
 		if after, ok := s.lengths.HedgeAfter(now, q.r.Route, q.r.Remaining); ok {
 			t.HedgeAfter = after
@@ -150,7 +149,11 @@
 	t.Allowed = st.inflight.Begin(r.Organisation, r.Weight, limit)
 	if !t.Allowed {
 		t.Delay = t.Expected
+		return
 	}
+	// A request that is refused here adds nothing to the budgets.
+	st.retries.Deposit(now)
+	st.hedges.Deposit(now)
 }
 
 // observe learns the run time of a route. A run that was cut tells only that the
--- a/lib/service/router/candidates.go
+++ b/lib/service/router/candidates.go
@@ -24,6 +24,8 @@
 	retries, hedges retry.Budget
 	saturation      retry.Saturation
 	inflight        retry.Inflight
+	// used is when the state was last asked for a fresh request.
+	used time.Time
 }
 
 // service returns the state of a service, with its instances in order.
--- /dev/null
+++ b/lib/service/router/prune.go
@@ -0,0 +1,26 @@
+package router
+
+import "time"
+
+const (
+	pruneInterval = time.Minute
+	// unusedAfter is when the state of an instance or service without requests is
+	// dropped. At the target 4,400 VMs are replaced a day, and their names with
+	// them.
+	unusedAfter = 10 * time.Minute
+)
+
+// prune drops the state of instances and services that are not in use. It is
+// made anew when they are chosen again.
+func (s *Service[P]) prune(now time.Time) {
+	for name, p := range s.picture {
+		if p.outstanding == 0 && now.Sub(p.reported) > unusedAfter {
+			delete(s.picture, name)
+		}
+	}
+	for name, st := range s.services {
+		if st.inflight.Idle() && now.Sub(st.used) > unusedAfter {
+			delete(s.services, name)
+		}
+	}
+}
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -139,7 +139,7 @@
 
 // Run implements kernel.Service.
 func (s *Service[P]) Run(ctx context.Context) error {
-	d := ring.Duty[command]{Ring: s.commands, Handle: s.handle}
+	d := ring.Duty[command]{Ring: s.commands, Interval: pruneInterval, Handle: s.handle, Tick: s.prune}
 	return d.Run(ctx)
 }
 
