--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -105,11 +105,7 @@
 	a, err := call.Wait(x.ctx)
 	if err != nil {
 		x.abandon()
-		// The duty answers in the order of its commands, so that a slot that was
-		// given in the meantime is known now.
-		if late, err := call.Wait(x.s.life); err == nil && late.failure() == "" && x.reserve.GetCommitNow() {
-			x.finish(late)
-		}
+		x.giveBack(call)
 		if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 			return admitted{reason: request.ReasonDeadline}
 		}
@@ -127,6 +123,7 @@
 
 var refusalReasons = map[slot.Refusal]request.Reason{
 	slot.RefusedFull:     request.ReasonFull,
+	slot.RefusedShare:    request.ReasonShare,
 	slot.RefusedDeadline: request.ReasonDeadline,
 	slot.RefusedWait:     request.ReasonQueueWait,
 	slot.RefusedLeaving:  request.ReasonLeaving,
@@ -214,14 +211,21 @@
 	ctx, span := otel.Tracer(tracerName).Start(x.ctx, "backend server")
 	var once sync.Once
 	var load *wire.Load
-	release := func() { once.Do(func() { load = x.finish(adm) }) }
+	release := func(r run) { once.Do(func() { load = x.finish(adm, r) }) }
 	// A send to an entry that does not receive blocks until its connection ends.
 	// The backend server's call ends with the exchange, and so does its slot.
-	stop := context.AfterFunc(x.ctx, release)
+	stop := context.AfterFunc(x.ctx, func() {
+		time.Sleep(cancelHold)
+		release(run{took: time.Since(started)})
+	})
 	last := x.call(ctx, adm, head)
 	stop()
 	span.End()
-	release()
+	took := time.Since(started)
+	if last.GetEnd() == nil {
+		time.Sleep(cancelHold)
+	}
+	release(runOf(last, took))
 	if load != nil {
 		load.ServiceTime = int64(time.Since(started))
 	}
@@ -230,9 +234,9 @@
 	return x.stream.Send(last)
 }
 
-func (x *exchange) finish(adm admitted) *wire.Load {
+func (x *exchange) finish(adm admitted, r run) *wire.Load {
 	call := ring.NewCall[struct{}, *wire.Load](struct{}{})
-	cmd := finish{instance: x.reserve.GetInstance(), grant: adm.grant, call: call}
+	cmd := finish{instance: x.reserve.GetInstance(), attempt: x.attempt, grant: adm.grant, run: r, call: call}
 	if err := x.s.commands.Put(x.s.life, cmd); err != nil {
 		x.s.Log.Debug("Slot not given back.", "instance", x.reserve.GetInstance(), "err", err)
 		return nil
--- a/lib/service/gate/gate_test.go
+++ b/lib/service/gate/gate_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"io"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +21,7 @@
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/platform"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
 	configservice "cassiarack.example/lib/service/config"
@@ -48,20 +52,18 @@
 		t.Fatal(err)
 	}
 	b.addr = lis.Addr().String()
-	c, err := config.Decode(config.Revision{Number: 1}, map[string][]byte{"register": fmt.Appendf(nil,
-		`{"services": [{"name": "s", "slots": 1}], "vms": [{"name": "v", "region": "r", "dataCentre": "d",
-		"node": %q, "instances": [{"name": "i", "service": "s", "address": %q}]}]}`, b.addr, backend.Listener.Addr())})
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.conf = &configservice.Service{Log: quiet}
+	c := content(t, fmt.Sprintf(`{"services": [{"name": "s", "slots": 1}], "vms": [{"name": "v", "region": "r",
+		"dataCentre": "d", "node": %q, "instances": [{"name": "i", "service": "s", "address": %q}]}]}`,
+		b.addr, backend.Listener.Addr()))
+	b.conf = &configservice.Service{VM: "v", DataCentre: "d", Log: quiet, Random: mathrand.New(mathrand.NewPCG(1, 1))}
 	b.gate = &Service{VM: "v", Incarnation: 7, Log: quiet}
+	up := &starter{conf: b.conf, c: c, ready: make(chan struct{})}
 	k := &kernel.Kernel{Log: quiet, DrainTimeout: time.Minute, Registrations: []kernel.Registration{
 		{Name: service.Metrics, Service: metrics.New("v", "d")},
 		{Name: service.Peers, Service: &peers.Service{Listener: lis, Log: quiet}},
-		{Name: service.Config, Service: b.conf},
+		{Name: service.Config, Needs: []string{service.Peers, service.Metrics}, Service: b.conf},
 		{Name: service.Gate, Needs: []string{service.Config, service.Peers, service.Metrics}, Service: b.gate},
-		{Name: "starter", Needs: []string{service.Config, service.Gate}, Service: &starter{conf: b.conf, c: c}},
+		{Name: "starter", Needs: []string{service.Config, service.Gate}, Service: up},
 	}}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
@@ -72,22 +74,46 @@
 			t.Errorf("kernel: %v", err)
 		}
 	})
-	b.wait("configuration", func() bool { return b.conf.Current() != nil })
+	select {
+	case <-up.ready:
+	case <-time.After(time.Minute):
+		t.Fatal("no configuration in force")
+	}
 	return b
 }
 
+// content is a revision with one document, the register.
+func content(t *testing.T, register string) *configservice.Content {
+	t.Helper()
+	text := []byte(register)
+	sum := sha256.Sum256(text)
+	m := &platform.Manifest{Revision: 1, Documents: []platform.Document{
+		{Name: "register", Size: int64(len(text)), SHA256: hex.EncodeToString(sum[:])}}}
+	c, err := configservice.NewContent(m, map[string]config.Document{"register": {Text: text, Digest: sum}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // starter puts a configuration in force.
 type starter struct {
 	conf *configservice.Service
-	c    *config.Configuration
+	c    *configservice.Content
+	// ready is closed when it is in force.
+	ready chan struct{}
 }
 
 func (s *starter) Bind(*kernel.Directory) error { return nil }
 
 func (s *starter) Run(ctx context.Context) error {
-	if err := s.conf.Offer(ctx, s.c); err != nil {
+	if _, err := s.conf.Offer(ctx, s.c); err != nil {
 		return err
 	}
+	for s.conf.Current() == nil && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	close(s.ready)
 	<-ctx.Done()
 	return nil
 }
--- a/lib/service/gate/pause.go
+++ b/lib/service/gate/pause.go
@@ -40,7 +40,7 @@
 		for a, adm := range d.waiting {
 			if d.slots.Withdraw(a) {
 				delete(d.waiting, a)
-				adm.call.Reply(admitted{reason: request.ReasonPaused, load: d.load()})
+				adm.call.Reply(admitted{reason: request.ReasonPaused, load: d.load(now)})
 			}
 		}
 	}
