Claim idempotency keys, and settle silent and late attempts

Requests with the same key could run twice, a link that was silent after a commit was waited for until the caller's deadline, and a deadline after a commit was told as unknown without a question to the gate.

The ledger service keeps claims whose home is the node and claims keys in parallel with the reserve. Keys that are held or unknown give 409 with the time after which the home knows; a request whose attempts all did not run gives its claim back. The handoff service follows the entry's state machine: it asks for a settlement after 1.5 s of silence, after a lost link and at the deadline.

--- a/lib/service/front/answer.go
+++ b/lib/service/front/answer.go
@@ -80,7 +80,8 @@
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(HeaderOutcome, string(f.Outcome))
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusConflict && f.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(retrySeconds(f.RetryAfter)))
 	}
 	w.WriteHeader(status)
--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -12,6 +12,7 @@
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/service"
 	configservice "cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/ledger"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/router"
@@ -21,8 +22,13 @@
 	// reserveTimeout bounds the wait for the answer to a reserve beyond the
 	// patience.
 	reserveTimeout = 400 * time.Millisecond
-	// settleTimeout bounds the wait for a settlement.
-	settleTimeout = time.Second
+	// settleTimeout bounds the wait for one settlement. Two fit into the time
+	// that a caller gives beyond its deadline.
+	settleTimeout = 300 * time.Millisecond
+	// silence is how long a committed request waits for a message before the
+	// gate is asked whether the commit arrived. It exceeds the hold, as the
+	// gate reports by itself that a grant expired.
+	silence = 1500 * time.Millisecond
 	// closeTimeout bounds the wait for the close of a stream after its end.
 	closeTimeout = 100 * time.Millisecond
 )
@@ -35,6 +41,7 @@
 	config *configservice.Service
 	peers  *peers.Service
 	router router.Router
+	ledger *ledger.Service
 	scope  tally.Scope
 }
 
@@ -52,6 +59,9 @@
 		return err
 	}
 	s.scope = m.Scope().SubScope("handoff")
+	if s.ledger, err = kernel.Find[*ledger.Service](dir, service.Ledger); err != nil {
+		return err
+	}
 	s.router, err = router.Find(dir)
 	return err
 }
@@ -74,9 +84,13 @@
 	if err != nil {
 		return nil, notRun(request.ReasonNoRoute, err.Error())
 	}
+	if f := s.limitKeyed(req, rt, time.Now()); f != nil {
+		return nil, f
+	}
 	j := &journey{s: s, req: req, route: rt, body: newReplay(req.Body),
-		weight: conf.Organisations[req.Organisation]}
+		weight: conf.Organisations[req.Organisation], key: s.claim(req, rt)}
 	answer, failure := j.run(ctx)
+	failure = j.key.end(failure)
 	if failure != nil {
 		s.scope.Tagged(map[string]string{"outcome": string(failure.Outcome), "reason": string(failure.Reason)}).
 			Counter("failed").Inc(1)
--- /dev/null
+++ b/lib/service/handoff/key.go
@@ -0,0 +1,122 @@
+package handoff
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"cassiarack.example/lib/decision/ledger"
+	"cassiarack.example/lib/decision/route"
+	"cassiarack.example/lib/request"
+	ledgerservice "cassiarack.example/lib/service/ledger"
+)
+
+const (
+	// claimTimeout bounds one claim or release. It is below the hold of a grant,
+	// so that a claim that comes late does not waste the reservation.
+	claimTimeout = 300 * time.Millisecond
+	// claimTries is how often a claim is asked for. A second question recovers
+	// from a reply that was lost with its connection.
+	claimTries = 2
+)
+
+// keyed is the claim of a request on its idempotency key. A nil *keyed is a
+// request without one.
+type keyed struct {
+	s        *Service
+	route    route.Route
+	key      ledger.Key
+	claimant ledger.Claimant
+	// done is closed when result and err are set.
+	done   chan struct{}
+	result ledger.Result
+	err    error
+}
+
+// claim starts to claim the key of a request, in parallel with the first
+// reserve. Idempotent work needs no claim.
+func (s *Service) claim(req *request.Request, rt route.Route) *keyed {
+	if req.Key == "" || rt.Idempotent {
+		return nil
+	}
+	k := &keyed{s: s, route: rt, done: make(chan struct{}),
+		key: ledger.Key{Organisation: req.Organisation, Service: rt.Service.Name, Value: req.Key}}
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(k.claimant[:])
+	go k.run()
+	return k
+}
+
+// run is the duty that asks the home.
+func (k *keyed) run() {
+	defer close(k.done)
+	for range claimTries {
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		k.result, k.err = k.s.ledger.Claim(ctx, k.route.Service, k.key, k.claimant)
+		cancel()
+		if k.err == nil {
+			return
+		}
+	}
+}
+
+// wait returns nil when the key is claimed, or why the work must not run.
+func (k *keyed) wait() *request.Failure {
+	if k == nil {
+		return nil
+	}
+	<-k.done
+	f := &request.Failure{Outcome: request.Unknown, Reason: request.ReasonKeyUnknown, RetryAfter: k.result.RetryAfter}
+	switch {
+	case k.err != nil:
+		f.Detail = fmt.Sprintf("the home of the idempotency key gives no answer: %v", k.err)
+	case k.result.Answer == ledger.Granted:
+		return nil
+	case k.result.Answer == ledger.Held:
+		f.Reason = request.ReasonKeyInUse
+		f.Detail = "another request with the idempotency key ran or may run"
+	case k.result.Answer == ledger.Full:
+		f.Detail = "the home of the idempotency key has no room for another"
+	default:
+		f.Detail = "the home of the idempotency key cannot know earlier requests yet"
+	}
+	return f
+}
+
+// end gives the key back if the work did not run, and returns the failure to
+// tell. A request whose key is held or unknown is not told as not run, as the
+// caller would take that for all requests with the key.
+func (k *keyed) end(f *request.Failure) *request.Failure {
+	if k == nil || f == nil {
+		return f
+	}
+	denied := k.wait()
+	if k.err != nil || denied == nil && f.Outcome == request.NotRun {
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		defer cancel()
+		if err := k.s.ledger.Release(ctx, k.route.Service, k.key, k.claimant); err != nil {
+			k.s.Log.Debug("Claim not released.", "err", err)
+		}
+	}
+	if denied != nil {
+		return denied
+	}
+	return f
+}
+
+// limitKeyed checks the key of a request and ends its time with the retention:
+// work that starts later could meet a second run of the key.
+func (s *Service) limitKeyed(req *request.Request, rt route.Route, now time.Time) *request.Failure {
+	if req.Key == "" || rt.Idempotent {
+		return nil
+	}
+	if len(req.Key) > ledgerservice.MaxKey {
+		return &request.Failure{Outcome: request.NotRun, Reason: request.ReasonMalformed,
+			Detail: fmt.Sprintf("Idempotency-Key: found %d bytes; allowed: up to %d", len(req.Key), ledgerservice.MaxKey)}
+	}
+	if end := now.Add(s.ledger.Retention); req.Deadline.After(end) {
+		req.Deadline = end
+	}
+	return nil
+}
--- a/lib/service/handoff/moves.go
+++ b/lib/service/handoff/moves.go
@@ -23,6 +23,8 @@
 	terms router.Terms
 	// weight is the share of the organisation.
 	weight int
+	// key is the claim on the idempotency key, or nil.
+	key *keyed
 
 	gates   int // instances that are not leaving
 	moves   int
@@ -114,7 +116,7 @@
 
 func (j *journey) newAttempt(ctx context.Context, inst *config.Instance) *attempt {
 	a := j.s.newAttempt(ctx, j.req, j.route, inst, j.body)
-	a.expected, a.begun = j.terms.Expected, make(chan struct{})
+	a.expected, a.begun, a.key = j.terms.Expected, make(chan struct{}), j.key
 	return a
 }
 
--- /dev/null
+++ b/lib/service/handoff/settle.go
@@ -0,0 +1,151 @@
+package handoff
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"cassiarack.example/lib/decision/handover"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/wire"
+)
+
+// outcomes are what a caller is told when an attempt ended with a step.
+var outcomes = map[handover.Step]request.Outcome{
+	handover.StepNotRun: request.NotRun, handover.StepUnknown: request.Unknown,
+}
+
+func (a *attempt) handle(ev handover.Event) handover.Step { return a.entry.Handle(time.Now(), ev) }
+
+// commit sends the commit. It returns the failure of an attempt whose commit
+// could not be sent whole, which may have arrived nevertheless.
+func (a *attempt) commit(grant *wire.Grant) *request.Failure {
+	a.handle(handover.EventCommit)
+	up := &wire.Up{Kind: &wire.Up_Commit{Commit: &wire.Commit{Grant: grant, Head: wire.ToHead(a.req.Head)}}}
+	if err := a.stream.Send(up); err != nil {
+		f, _ := a.conclude(grant, a.handle(handover.EventLost), a.lost(err))
+		return f
+	}
+	return nil
+}
+
+// lost is the failure of an attempt whose link was lost, with the outcome left
+// open.
+func (a *attempt) lost(cause error) *request.Failure {
+	return &request.Failure{Reason: request.ReasonLinkLost,
+		Detail: fmt.Sprintf("node beside %s: %v", a.inst.Name, cause)}
+}
+
+var errUnexpected = errors.New("unexpected message")
+
+// awaitHead waits for the head of the answer. When the gate is silent for long
+// after a commit, it is asked on another connection whether the commit arrived.
+func (a *attempt) awaitHead(grant *wire.Grant) (*request.Answer, *request.Failure) {
+	wait := silence
+	if a.route.Idempotent {
+		wait = 0
+	}
+	for {
+		down, ev, f := a.nextEvent(wait)
+		wait = 0
+		f, ended := a.conclude(grant, a.handle(ev), f)
+		switch {
+		case f != nil:
+			return nil, f
+		case ended:
+			return a.answer(down.GetHead()), nil
+		}
+	}
+}
+
+// nextEvent waits for the gate's next message, for silence if wait is not zero,
+// or for the end of the link or of the caller's time. The failure tells the
+// cause of an event that may end the attempt.
+func (a *attempt) nextEvent(wait time.Duration) (*wire.Down, handover.Event, *request.Failure) {
+	ctx, cancel := a.ctx, context.CancelFunc(func() {})
+	if wait > 0 {
+		ctx, cancel = context.WithTimeout(a.ctx, wait)
+	}
+	defer cancel()
+	down, err := a.downs.Take(ctx)
+	switch {
+	case a.ctx.Err() != nil && (err != nil || down.GetHead() != nil):
+		// An answer that begins too late is of no use; a refusal is.
+		return nil, handover.EventOver, a.ended("")
+	case err != nil && errors.Is(err, ring.ErrClosed):
+		return nil, handover.EventLost, a.lost(err)
+	case err != nil:
+		return nil, handover.EventSilence, a.lost(errSilence)
+	}
+	a.note(down)
+	switch {
+	case down.GetRefused() != nil:
+		return down, handover.EventRefused, refusal(down.GetRefused())
+	case down.GetFailed().GetNotRun():
+		return down, handover.EventRefused, failure(down.GetFailed())
+	case down.GetFailed() != nil:
+		return down, handover.EventFailed, failure(down.GetFailed())
+	case down.GetHead() != nil:
+		return down, handover.EventHead, nil
+	}
+	return down, handover.EventLost, a.lost(errUnexpected)
+}
+
+var errSilence = errors.New("no message after the commit")
+
+// conclude performs settlements until the entry decides. It returns the failure
+// that ends the attempt, or whether the answer begins.
+func (a *attempt) conclude(grant *wire.Grant, step handover.Step, f *request.Failure) (*request.Failure, bool) {
+	for step == handover.StepSettle {
+		step = a.handle(a.settle(grant))
+	}
+	switch step {
+	case handover.StepAnswer:
+		return nil, true
+	case handover.StepNotRun, handover.StepUnknown:
+		if f == nil {
+			f = a.lost(errUnexpected)
+		}
+		f.Outcome = outcomes[step]
+		return f, true
+	}
+	return nil, false
+}
+
+var settlements = map[wire.Settlement]handover.Event{
+	wire.Settlement_SETTLEMENT_NOT_RUN: handover.EventSettledNotRun,
+	wire.Settlement_SETTLEMENT_STARTED: handover.EventSettledStarted,
+	wire.Settlement_SETTLEMENT_UNKNOWN: handover.EventSettledUnknown,
+}
+
+// settle asks the gate what became of a committed grant. The gate voids the
+// grant if the commit has not arrived.
+func (a *attempt) settle(grant *wire.Grant) handover.Event {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), settleTimeout)
+	defer cancel()
+	client := wire.NewDRPCHandoverClient(a.s.peers.Conn(ctx, a.inst.VM.Node))
+	reply, err := client.Settle(ctx, &wire.SettleRequest{Instance: a.inst.Name, Attempt: a.id[:], Grant: grant})
+	ev := handover.EventSettleLost
+	if known, ok := settlements[reply.GetSettlement()]; err == nil && ok {
+		ev = known
+	}
+	a.s.Log.Info("Asked for a settlement.", "instance", a.inst.Name, "reply", ev, "err", err)
+	return ev
+}
+
+// answer begins to pass the answer on.
+func (a *attempt) answer(h *wire.ResponseHead) *request.Answer {
+	answer := &request.Answer{
+		Status:        int(h.GetStatus()),
+		Fields:        wire.FromFields(h.GetFields()),
+		ContentLength: h.GetContentLength(),
+		TrailerNames:  h.GetTrailerNames(),
+		Instance:      a.inst.Name,
+		VM:            a.inst.VM.Name,
+		Pieces:        ring.New[request.Piece](1),
+	}
+	go a.forward(answer.Pieces)
+	return answer
+}
--- /dev/null
+++ b/lib/service/ledger/ledger.go
@@ -0,0 +1,239 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/ledger"
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/service"
+	configservice "cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/wire"
+)
+
+const (
+	// ringSize bounds the commands that wait for the duty.
+	ringSize = 4096
+	// tick is how often lists of VMs are compared with those in force.
+	tick = 100 * time.Millisecond
+	// maxGap is the longest time between two ticks of a process that runs.
+	maxGap = 500 * time.Millisecond
+	// lag bounds the time between the first and the last node that adopt a
+	// list of VMs. It is the target for a configuration to be in force
+	// everywhere.
+	lag = 4 * time.Second
+	// capacity bounds the claims in memory. At 176 requests/s on a node, all
+	// with keys, and a retention of 2 min, 21000 claims are held.
+	capacity = 1 << 16
+	// MaxKey bounds the length of a key in bytes, and with capacity the memory.
+	MaxKey = 255
+)
+
+// Service keeps and makes claims.
+type Service struct {
+	// VM is the name of the node's VM.
+	VM string
+	// Retention is how long a key is protected. All nodes must have the same.
+	Retention time.Duration
+	// Log receives hand-overs of claims.
+	Log *log.Logger
+
+	commands *ring.Ring[command]
+	config   *configservice.Service
+	peers    *peers.Service
+	scope    tally.Scope
+	ledger   ledger.Ledger
+	alive    time.Time
+}
+
+// command is a command to the duty.
+type command struct {
+	claim   *ring.Call[claim, ledger.Result]
+	release *ring.Call[claim, bool]
+	imports *ring.Call[imports, int]
+	export  *ring.Call[struct{}, exported]
+	paused  bool
+}
+
+type claim struct {
+	key      ledger.Key
+	claimant ledger.Claimant
+}
+
+type imports struct {
+	from   string
+	claims []ledger.Claim
+	last   bool
+}
+
+type exported struct {
+	claims   map[string][]ledger.Claim
+	complete bool
+}
+
+// Bind implements kernel.Service.
+func (s *Service) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.config, err = kernel.Find[*configservice.Service](dir, service.Config); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Find[*peers.Service](dir, service.Peers); err != nil {
+		return err
+	}
+	m, err := kernel.Find[*metrics.Service](dir, service.Metrics)
+	if err != nil {
+		return err
+	}
+	s.scope = m.Scope().SubScope("ledger")
+	s.commands = ring.New[command](ringSize)
+	s.ledger = ledger.Ledger{Self: s.VM, Retention: s.Retention, Lag: lag, Capacity: capacity}
+	return wire.DRPCRegisterLedger(s.peers.Mux(), server{s})
+}
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	s.alive = time.Now()
+	s.ledger.Start(s.alive)
+	d := ring.Duty[command]{Ring: s.commands, Interval: tick, Handle: s.handle, Tick: s.tick}
+	return d.Run(ctx)
+}
+
+// Paused notes a pause of the process that ended at now.
+func (s *Service) Paused(now time.Time) {
+	if err := s.commands.Offer(command{paused: true}); err != nil {
+		// The duty notices the gap between its ticks itself.
+		s.Log.Warn("Pause not recorded.", "at", now, "err", err)
+	}
+}
+
+// beat puts all keys in quarantine when the process was paused.
+func (s *Service) beat(now time.Time) {
+	gap := max(now.Sub(s.alive), now.Round(0).Sub(s.alive.Round(0)))
+	s.alive = now
+	if gap > maxGap {
+		s.Log.Warn("Keys are unknown after a pause.", "gap", gap)
+		s.ledger.Paused(now)
+	}
+}
+
+func (s *Service) tick(now time.Time) {
+	s.beat(now)
+	s.adopt(now)
+	s.scope.Gauge("claims").Update(float64(s.ledger.Len()))
+}
+
+// adopt puts the lists of VMs of the services of this VM in force.
+func (s *Service) adopt(now time.Time) {
+	c := s.config.Current()
+	if c == nil || c.VMs[s.VM] == nil {
+		return
+	}
+	for _, i := range c.VMs[s.VM].Instances {
+		s.ledger.SetVMs(now, i.Service.Name, s.vms(i.Service))
+	}
+}
+
+// vms returns the VMs of a service that the platform does not list as gone.
+// Without a list all are present.
+func (s *Service) vms(svc *config.Service) []string {
+	var out []string
+	list := s.config.List()
+	for _, vm := range svc.VMs() {
+		if list.State(vm.Name) != configservice.VMGone {
+			out = append(out, vm.Name)
+		}
+	}
+	return out
+}
+
+func (s *Service) handle(now time.Time, c command) {
+	s.beat(now)
+	switch {
+	case c.claim != nil:
+		r := s.ledger.Claim(now, c.claim.Query.key, c.claim.Query.claimant)
+		s.scope.Tagged(map[string]string{"answer": string(r.Answer)}).Counter("answers").Inc(1)
+		c.claim.Reply(r)
+	case c.release != nil:
+		c.release.Reply(s.ledger.Release(now, c.release.Query.key, c.release.Query.claimant))
+	case c.imports != nil:
+		q := c.imports.Query
+		c.imports.Reply(s.ledger.Import(now, q.from, q.claims, q.last))
+	case c.export != nil:
+		claims, complete := s.ledger.Export(now)
+		c.export.Reply(exported{claims, complete})
+	case c.paused:
+		s.ledger.Paused(now)
+	}
+}
+
+// ask gives a command with a call to the duty and waits for the reply.
+func ask[Q, A any](ctx context.Context, s *Service, q Q, wrap func(*ring.Call[Q, A]) command) (A, error) {
+	call := ring.NewCall[Q, A](q)
+	if err := s.commands.Offer(wrap(&call)); err != nil {
+		var zero A
+		return zero, err
+	}
+	return call.Wait(ctx)
+}
+
+func (s *Service) claimHere(ctx context.Context, c claim) (ledger.Result, error) {
+	return ask(ctx, s, c, func(q *ring.Call[claim, ledger.Result]) command { return command{claim: q} })
+}
+
+func (s *Service) releaseHere(ctx context.Context, c claim) (bool, error) {
+	return ask(ctx, s, c, func(q *ring.Call[claim, bool]) command { return command{release: q} })
+}
+
+var errNoHome = errors.New("no VM of the service is present")
+
+// home returns the VM that keeps the claims on a key.
+func (s *Service) home(svc *config.Service, k ledger.Key) (*config.VM, error) {
+	name := ledger.Home(k, s.vms(svc))
+	for _, i := range svc.Instances {
+		if i.VM.Name == name {
+			return i.VM, nil
+		}
+	}
+	return nil, errNoHome
+}
+
+// Claim asks the home of a key for the right to run its work. After an error
+// the claim may have been granted. The same claimant may ask again.
+func (s *Service) Claim(ctx context.Context, svc *config.Service, k ledger.Key, c ledger.Claimant) (ledger.Result, error) {
+	vm, err := s.home(svc, k)
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	if vm.Name == s.VM {
+		return s.claimHere(ctx, claim{k, c})
+	}
+	reply, err := wire.NewDRPCLedgerClient(s.peers.Conn(ctx, vm.Node)).Claim(ctx,
+		&wire.ClaimRequest{Key: toKey(k), Attempt: c[:]})
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	return ledger.Result{Answer: fromAnswer(reply.GetAnswer()), RetryAfter: time.Duration(reply.GetRetryAfter())}, nil
+}
+
+// Release gives a claim back whose work did not and will not run.
+func (s *Service) Release(ctx context.Context, svc *config.Service, k ledger.Key, c ledger.Claimant) error {
+	vm, err := s.home(svc, k)
+	if err != nil {
+		return err
+	}
+	if vm.Name == s.VM {
+		_, err = s.releaseHere(ctx, claim{k, c})
+		return err
+	}
+	_, err = wire.NewDRPCLedgerClient(s.peers.Conn(ctx, vm.Node)).Release(ctx,
+		&wire.ReleaseRequest{Key: toKey(k), Attempt: c[:]})
+	return err
+}
--- /dev/null
+++ b/lib/service/ledger/server.go
@@ -0,0 +1,155 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cassiarack.example/lib/decision/ledger"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/wire"
+)
+
+const (
+	// importSize bounds the claims of one message between nodes.
+	importSize = 1000
+	// importTimeout bounds one such message.
+	importTimeout = 2 * time.Second
+)
+
+// server serves the claims of other nodes.
+type server struct{ s *Service }
+
+var (
+	errKey    = errors.New("claim without a valid key and attempt")
+	errImport = errors.New("import without the name of a VM")
+)
+
+func fromClaim(k *wire.Key, attempt []byte) (claim, error) {
+	c := claim{key: fromKey(k)}
+	if len(attempt) != len(c.claimant) || k.GetService() == "" || k.GetValue() == "" || len(k.GetValue()) > MaxKey {
+		return c, errKey
+	}
+	copy(c.claimant[:], attempt)
+	return c, nil
+}
+
+// Claim implements the drpc call.
+func (v server) Claim(ctx context.Context, in *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	c, err := fromClaim(in.GetKey(), in.GetAttempt())
+	if err != nil {
+		return nil, err
+	}
+	r, err := v.s.claimHere(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ClaimReply{Answer: answers[r.Answer], RetryAfter: int64(r.RetryAfter)}, nil
+}
+
+// Release implements the drpc call.
+func (v server) Release(ctx context.Context, in *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	c, err := fromClaim(in.GetKey(), in.GetAttempt())
+	if err != nil {
+		return nil, err
+	}
+	ok, err := v.s.releaseHere(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ReleaseReply{Released: ok}, nil
+}
+
+// Import implements the drpc call.
+func (v server) Import(ctx context.Context, in *wire.ImportRequest) (*wire.ImportReply, error) {
+	q := imports{from: in.GetFrom(), last: in.GetLast()}
+	if q.from == "" {
+		return nil, errImport
+	}
+	for _, w := range in.GetClaims() {
+		c, err := fromClaim(w.GetKey(), w.GetAttempt())
+		if err != nil {
+			return nil, err
+		}
+		q.claims = append(q.claims, ledger.Claim{Key: c.key, Claimant: c.claimant, Age: time.Duration(w.GetAge())})
+	}
+	n, err := ask(ctx, v.s, q, func(c *ring.Call[imports, int]) command { return command{imports: c} })
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ImportReply{Taken: uint32(n)}, nil
+}
+
+// Drain implements kernel.Drainer: it ends the grants of this home and hands
+// its claims to the next homes.
+func (s *Service) Drain(ctx context.Context) error {
+	e, err := ask(ctx, s, struct{}{}, func(c *ring.Call[struct{}, exported]) command { return command{export: c} })
+	if err != nil {
+		return err
+	}
+	for vm, claims := range e.claims {
+		if len(claims) == 0 && !e.complete {
+			continue
+		}
+		if err := s.handOver(ctx, vm, claims, e.complete); err != nil {
+			// A home that is stopping as well cannot take claims. The keys stay
+			// unknown for one retention then.
+			s.Log.Warn("Claims not handed over.", "to", vm, "claims", len(claims), "err", err)
+		}
+	}
+	return nil
+}
+
+var errNotTaken = errors.New("not all claims were taken")
+
+func (s *Service) handOver(ctx context.Context, vm string, claims []ledger.Claim, complete bool) error {
+	c := s.config.Current()
+	if c == nil || c.VMs[vm] == nil {
+		return errNoHome
+	}
+	client := wire.NewDRPCLedgerClient(s.peers.Conn(ctx, c.VMs[vm].Node))
+	for first := true; first || len(claims) > 0; first = false {
+		n := min(importSize, len(claims))
+		in := &wire.ImportRequest{From: s.VM, Last: complete && n == len(claims)}
+		for _, c := range claims[:n] {
+			in.Claims = append(in.Claims, &wire.Claim{Key: toKey(c.Key), Attempt: c.Claimant[:], Age: int64(c.Age)})
+		}
+		claims = claims[n:]
+		ctx, cancel := context.WithTimeout(ctx, importTimeout)
+		reply, err := client.Import(ctx, in)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if int(reply.GetTaken()) != n {
+			return errNotTaken
+		}
+	}
+	return nil
+}
+
+func toKey(k ledger.Key) *wire.Key {
+	return &wire.Key{Organisation: k.Organisation, Service: k.Service, Value: k.Value}
+}
+
+func fromKey(k *wire.Key) ledger.Key {
+	return ledger.Key{Organisation: k.GetOrganisation(), Service: k.GetService(), Value: k.GetValue()}
+}
+
+var answers = map[ledger.Answer]wire.ClaimAnswer{
+	ledger.Granted: wire.ClaimAnswer_CLAIM_ANSWER_GRANTED,
+	ledger.Held:    wire.ClaimAnswer_CLAIM_ANSWER_HELD,
+	ledger.Unknown: wire.ClaimAnswer_CLAIM_ANSWER_UNKNOWN,
+	ledger.NotHome: wire.ClaimAnswer_CLAIM_ANSWER_NOT_HOME,
+	ledger.Full:    wire.ClaimAnswer_CLAIM_ANSWER_FULL,
+}
+
+// fromAnswer converts an answer. One that is not known here counts as unknown.
+func fromAnswer(w wire.ClaimAnswer) ledger.Answer {
+	for a, have := range answers {
+		if have == w {
+			return a
+		}
+	}
+	return ledger.Unknown
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -22,6 +22,7 @@
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/lib/service/gate"
 	"cassiarack.example/lib/service/handoff"
+	"cassiarack.example/lib/service/ledger"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/reader"
@@ -116,9 +117,14 @@
 			Needs:   []string{service.Config, service.Peers, service.Metrics},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
+		{
+			Name:    service.Ledger,
+			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")},
+		},
 		{
 			Name:    service.Handoff,
-			Needs:   []string{service.Config, service.Peers, service.Router, service.Metrics},
+			Needs:   []string{service.Config, service.Peers, service.Router, service.Ledger, service.Metrics},
 			Service: &handoff.Service{Log: n.log("handoff")},
 		},
 		{
