--- a/lib/service/handoff/attempt.go
+++ b/lib/service/handoff/attempt.go
@@ -94,6 +94,9 @@
 	if f := a.key.wait(); f != nil {
 		return nil, f
 	}
+	if a.ctx.Err() != nil && !a.route.Idempotent {
+		return nil, a.ended(request.NotRun)
+	}
 	if a.handle(handover.EventReserved) == handover.StepCommit {
 		if f := a.commit(grant); f != nil {
 			return nil, f
@@ -144,6 +147,7 @@
 		o = outcomes[a.handle(handover.EventLost)]
 	}
 	if a.ctx.Err() != nil {
+		// The reserve of idempotent work may have arrived, and starts the work.
 		return a.ended(o)
 	}
 	return &request.Failure{Outcome: o, Reason: request.ReasonUnreachable,
@@ -178,8 +182,7 @@
 	ctx, cancel := context.WithTimeout(a.ctx, a.patience+reserveTimeout)
 	defer cancel()
 	down, err := a.downs.Take(ctx)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, a.unreachable(err)
 	}
 	a.note(down)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -32,6 +33,13 @@
 	// Rules is the first rules document.
 	Rules []byte
 
+	// Advertise returns the address under which other nodes reach the node of a
+	// VM, such as that of a proxy before it; nil means the node's own. It is
+	// called when VM.Fleet is known.
+	Advertise func(v *VM) (netip.AddrPort, error)
+	// Settings are further settings of all nodes.
+	Settings map[string]any
+
 	// Platform, VMs and Register are filled by Start.
 	Platform *platform.Server
 	VMs      []*VM
@@ -52,6 +60,8 @@
 	Callers    netip.AddrPort
 	Fleet      netip.AddrPort
 	Admin      netip.AddrPort
+	// Advertised is the address of the node in the register.
+	Advertised netip.AddrPort
 	// Process is the node.
 	Process *exec.Cmd
 }
@@ -105,6 +115,12 @@
 				return err
 			}
 			v.Callers, v.Fleet, v.Admin = free[0], free[1], free[2]
+			v.Advertised = v.Fleet
+			if f.Advertise != nil {
+				if v.Advertised, err = f.Advertise(v); err != nil {
+					return fmt.Errorf("advertise node %s: %w", v.Name, err)
+				}
+			}
 			f.VMs = append(f.VMs, v)
 		}
 	}
@@ -162,18 +178,20 @@
 	var out []netip.AddrPort
 	at := slices.Index(f.VMs, v)
 	for i := 1; i < len(f.VMs) && len(out) < settingsPeers; i++ {
-		out = append(out, f.VMs[(at+i)%len(f.VMs)].Fleet)
+		out = append(out, f.VMs[(at+i)%len(f.VMs)].Advertised)
 	}
 	return out
 }
 
 // StartNode starts the node of a VM.
 func (f *Fleet) StartNode(v *VM) error {
-	settings, err := json.MarshalIndent(map[string]any{
+	values := map[string]any{
 		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
 		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress,
 		"peers": f.peers(v),
-	}, "", "  ")
+	}
+	maps.Copy(values, f.Settings)
+	settings, err := json.MarshalIndent(values, "", "  ")
 	if err != nil {
 		return fmt.Errorf("render settings: %w", err)
 	}
--- a/standin/proof/main_test.go
+++ b/standin/proof/main_test.go
@@ -50,7 +50,16 @@
 // start runs a fleet for the time of the test.
 func start(t *testing.T, d fleet.Deployment, rules string) *fleet.Fleet {
 	t.Helper()
-	f := &fleet.Fleet{Deployment: d, Node: nodeProgram, Folder: t.TempDir(), Rules: []byte(rules)}
+	f := &fleet.Fleet{}
+	startFleet(t, f, d, rules)
+	return f
+}
+
+// startFleet runs f, of which further fields may be set, for the time of the
+// test.
+func startFleet(t *testing.T, f *fleet.Fleet, d fleet.Deployment, rules string) {
+	t.Helper()
+	f.Deployment, f.Node, f.Folder, f.Rules = d, nodeProgram, t.TempDir(), []byte(rules)
 	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
 	defer cancel()
 	t.Cleanup(func() {
@@ -64,7 +73,6 @@
 	if err := f.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
-	return f
 }
 
 func printLogs(t *testing.T, folder string) {
