--- a/lib/service/gate/desk.go
+++ b/lib/service/gate/desk.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"time"
 
 	"cassiarack.example/lib/decision/handover"
@@ -109,10 +108,8 @@
 // its grant. Work that starts with its grant is committed then, and abandon does
 // not concern it.
 func (x *exchange) giveBack(call ring.Call[admit, admitted]) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), time.Second)
-	defer cancel()
 	// The duty has answered the call or answers it when it performs abandon.
-	adm, err := call.Wait(ctx)
+	adm, err := call.Wait(x.s.life)
 	if err == nil && adm.failure() == "" && x.reserve.GetCommitNow() {
 		x.finish(adm, run{})
 	}
