Exchange membership between nodes and leave before a stop

Cause: entries learned of a stopped node from refused connections only, and the front end stopped before the gate refused new work. Change: service gossip keeps the membership by authenticated datagrams on the fleet address, with the revision, readiness and ejection leases. Service credentials holds the fleet keys and reads them again on SIGHUP. The kernel has a phase before the drain in which services leave: gossip announces the stop, then the gate refuses new work, then the front end closes its listener, answers with Connection: close and ends. The front end listens when the node can serve, so callers of a starting node go to another. The router leaves out instances of dead and leaving nodes. Conclusion: the order of a stop is announced, refused, finished.

--- a/lib/kernel/kernel.go
+++ b/lib/kernel/kernel.go
@@ -25,6 +25,14 @@
 	Drain(ctx context.Context) error
 }
 
+// Leaver is implemented by services that tell others of a stop before the
+// process refuses anything.
+type Leaver interface {
+	// Leave announces the stop, and returns when it took effect elsewhere or
+	// when ctx is done.
+	Leave(ctx context.Context) error
+}
+
 // Registration names a service and the services that it needs.
 type Registration struct {
 	Name    string
@@ -43,8 +51,9 @@
 }
 
 // Run binds and starts all services, and blocks until ctx is done or a service
-// fails. It then drains the services and stops them, dependents first. It
-// returns nil after a clean stop.
+// fails. A stop has three phases: all services leave, each after those that it
+// needs; then they drain and then they stop, dependents first. DrainTimeout
+// bounds leaving and draining together. Run returns nil after a clean stop.
 func (k *Kernel) Run(ctx context.Context) error {
 	order, err := startOrder(k.Registrations)
 	if err != nil {
@@ -118,12 +127,23 @@
 	return nil
 }
 
-// drain drains the services one after the other, dependents first, so that a
-// service never loses one that it still needs to finish its work.
+// drain lets all services leave, before any of them refuses callers. It then
+// drains them one after the other, dependents first, so that a service never
+// loses one that it still needs to finish its work.
 func (k *Kernel) drain(order []Registration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), k.DrainTimeout)
 	defer cancel()
 	var errs []error
+	for _, r := range order {
+		l, ok := r.Service.(Leaver)
+		if !ok {
+			continue
+		}
+		if err := l.Leave(ctx); err != nil {
+			k.Log.Warn("Leaving incomplete.", "service", r.Name, "err", err)
+			errs = append(errs, &Error{Op: "leave", Kind: KindDrain, Names: []string{r.Name}, Err: err})
+		}
+	}
 	for _, r := range slices.Backward(order) {
 		d, ok := r.Service.(Drainer)
 		if !ok {
--- a/lib/kernel/kernel_test.go
+++ b/lib/kernel/kernel_test.go
@@ -53,6 +53,11 @@
 	return nil
 }
 
+func (p *part) Leave(context.Context) error {
+	p.notes.add("leave %s", p.name)
+	return nil
+}
+
 func (p *part) Drain(context.Context) error {
 	p.notes.add("drain %s", p.name)
 	return nil
--- a/lib/service/admin/admin.go
+++ b/lib/service/admin/admin.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/service"
 	configservice "cassiarack.example/lib/service/config"
@@ -45,10 +46,23 @@
 	gate    *gate.Service
 	peers   *peers.Service
 	router  router.Router
+	members members
+	front   accepting
 	metrics *metrics.Service
 	server  *http.Server
 }
 
+// members is the part of the gossip service that tells the membership.
+type members interface {
+	Members() []member.Member
+}
+
+// accepting is the part of the front service that tells whether callers can
+// connect.
+type accepting interface {
+	Accepting() bool
+}
+
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
@@ -67,6 +81,12 @@
 	if s.router, err = router.Find(dir); err != nil {
 		return err
 	}
+	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
+		return err
+	}
+	if s.front, err = kernel.Find[accepting](dir, service.Front); err != nil {
+		return err
+	}
 	if err := wire.DRPCRegisterState(s.peers.Mux(), s); err != nil {
 		return err
 	}
@@ -74,6 +94,7 @@
 	r.HandleFunc("/ready", s.ready).Methods(http.MethodGet)
 	r.HandleFunc("/state", s.state).Methods(http.MethodGet)
 	r.HandleFunc("/fleet", s.fleet).Methods(http.MethodGet)
+	r.HandleFunc("/members", s.showMembers).Methods(http.MethodGet)
 	r.HandleFunc("/explain", s.explain).Methods(http.MethodGet)
 	r.Handle("/metrics", s.metrics.Handler()).Methods(http.MethodGet)
 	if s.Profiling {
@@ -101,7 +122,7 @@
 }
 
 func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.config.Current() == nil {
+	if s.config.Current() == nil || !s.front.Accepting() {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
 		return
 	}
--- a/lib/service/front/front.go
+++ b/lib/service/front/front.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
+	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/service"
@@ -43,8 +44,10 @@
 
 // Service serves callers.
 type Service struct {
-	// Listener accepts the connections of callers.
-	Listener net.Listener
+	// Address is where callers connect. The service listens there when the node
+	// serves for the first time, so that callers of a node that just started go
+	// to another.
+	Address netip.AddrPort
 	// VM is the name of the node's VM.
 	VM string
 	// Timeout is the deadline of requests that state none.
@@ -52,13 +55,26 @@
 	// Log receives failures of the server.
 	Log *log.Logger
 
-	handoff *handoff.Service
-	server  *http.Server
+	config   configuration
+	handoff  *handoff.Service
+	server   *http.Server
+	open     connections
+	lis      atomic.Pointer[listener]
+	draining atomic.Bool
+}
+
+// configuration is the part of the config service that tells whether the node
+// may serve.
+type configuration interface {
+	Current() *config.Configuration
 }
 
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
+	if s.config, err = kernel.Find[configuration](dir, service.Config); err != nil {
+		return err
+	}
 	if s.handoff, err = kernel.Find[*handoff.Service](dir, service.Handoff); err != nil {
 		return err
 	}
@@ -69,44 +85,21 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         s.open.note,
 		ErrorLog:          s.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return nil
 }
 
-// Run implements kernel.Service.
-func (s *Service) Run(ctx context.Context) error {
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		<-ctx.Done()
-		if err := s.server.Close(); err != nil {
-			s.Log.Debug("Server closed.", "err", err)
-		}
-	}()
-	err := s.server.Serve(s.Listener)
-	if !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers: %w", err)
-	}
-	<-stopped
-	return nil
-}
-
-// Drain implements kernel.Drainer: it accepts no more connections and returns
-// when all requests are answered.
-func (s *Service) Drain(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down: %w", err)
-	}
-	return nil
-}
-
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "request")
 	defer span.End()
 	span.SetAttributes(attribute.String("method", r.Method), attribute.String("path", r.URL.Path))
 	w.Header().Set(HeaderNode, s.VM)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	req, failure := s.request(r, time.Now())
 	if failure != nil {
 		writeFailure(w, failure)
--- /dev/null
+++ b/lib/service/front/listen.go
@@ -0,0 +1,156 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// servePoll is how often the service looks whether the node may serve.
+	servePoll = 20 * time.Millisecond
+	// linger is how long connections without a request stay open after the
+	// listener closed. A caller that sends a request in this time gets its answer
+	// and the notice that the connection closes; a connection that is closed at
+	// the moment when a request is on its way cuts the request off.
+	linger = 3 * time.Second
+)
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	if !s.awaitConfiguration(ctx) {
+		<-ctx.Done()
+		return nil
+	}
+	raw, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Address))
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	lis := &listener{TCPListener: raw}
+	s.lis.Store(lis)
+	if s.draining.Load() {
+		// The drain may have looked before the listener was there.
+		_ = lis.Close()
+	}
+	s.Log.Info("Accepting callers.", "address", s.Address)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		if err := s.server.Close(); err != nil {
+			s.Log.Debug("Server closed.", "err", err)
+		}
+	}()
+	err = s.server.Serve(lis)
+	if !errors.Is(err, http.ErrServerClosed) && !s.draining.Load() {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	<-stopped
+	return nil
+}
+
+// awaitConfiguration waits until the node may serve. It reports false when the
+// node stops before.
+func (s *Service) awaitConfiguration(ctx context.Context) bool {
+	t := time.NewTicker(servePoll)
+	defer t.Stop()
+	for s.config.Current() == nil {
+		if s.draining.Load() {
+			return false
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// listener is closed by Drain and later by the server; the second close does
+// nothing.
+type listener struct {
+	*net.TCPListener
+	once sync.Once
+	err  error
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { l.err = l.TCPListener.Close() })
+	return l.err
+}
+
+// Accepting reports whether callers can connect.
+func (s *Service) Accepting() bool { return s.lis.Load() != nil && !s.draining.Load() }
+
+// Drain implements kernel.Drainer. The listener closes, answers tell the
+// callers to close their connections, and Drain returns when all requests are
+// answered.
+func (s *Service) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	lis := s.lis.Load()
+	if lis == nil {
+		return nil
+	}
+	if err := lis.Close(); err != nil {
+		s.Log.Debug("Listener closed.", "err", err)
+	}
+	s.open.wait(ctx, linger)
+	if err := s.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down with %d connections open: %w", s.open.count(), err)
+	}
+	return nil
+}
+
+// connections counts the connections of callers.
+type connections struct {
+	mu   sync.Mutex
+	n    int
+	none chan struct{}
+}
+
+// note is called by the server on each change of a connection.
+func (c *connections) note(_ net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.n++
+	case http.StateClosed, http.StateHijacked:
+		c.n--
+	}
+	if c.n == 0 && c.none != nil {
+		close(c.none)
+		c.none = nil
+	}
+}
+
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+// wait returns when no connection is open, after d, or when ctx is done.
+func (c *connections) wait(ctx context.Context, d time.Duration) {
+	c.mu.Lock()
+	if c.n == 0 {
+		c.mu.Unlock()
+		return
+	}
+	none := make(chan struct{})
+	c.none = none
+	c.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-none:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/lib/service/gate/command.go
+++ b/lib/service/gate/command.go
@@ -149,6 +149,7 @@
 type leave struct{}
 
 func (leave) apply(now time.Time, s *Service) {
+	s.leaving = true
 	for _, i := range s.instances() {
 		d := s.desk(i.Name)
 		d.slots.Leaving = true
--- a/lib/service/gate/gate.go
+++ b/lib/service/gate/gate.go
@@ -48,6 +48,8 @@
 	desks    map[string]*desk
 	backends *backends
 	inFlight inFlight
+	// leaving is set while the node stops. It belongs to the duty.
+	leaving bool
 }
 
 // desk is the state of one instance, owned by the duty.
@@ -91,13 +93,12 @@
 	return d.Run(ctx)
 }
 
-// Drain implements kernel.Drainer: new work is refused, work in flight ends.
-func (s *Service) Drain(ctx context.Context) error {
-	if err := s.commands.Put(ctx, leave{}); err != nil {
-		return err
-	}
-	return s.inFlight.wait(ctx)
-}
+// Leave implements kernel.Leaver: new work is refused. The kernel calls it after
+// gossip announced the stop, so that few entries still come.
+func (s *Service) Leave(ctx context.Context) error { return s.commands.Put(ctx, leave{}) }
+
+// Drain implements kernel.Drainer: work in flight ends.
+func (s *Service) Drain(ctx context.Context) error { return s.inFlight.wait(ctx) }
 
 // desk returns the state of an instance of this VM, or nil.
 func (s *Service) desk(name string) *desk {
@@ -116,7 +117,7 @@
 	}
 	d.instance = i
 	d.slots.Slots = i.Service.Slots
-	d.slots.Leaving = d.slots.Leaving || i.Leaving
+	d.slots.Leaving = s.leaving || i.Leaving
 	return d
 }
 
--- /dev/null
+++ b/lib/service/gossip/gossip.go
@@ -0,0 +1,351 @@
+package gossip
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/floor"
+	"cassiarack.example/lib/decision/member"
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/platform"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/credentials"
+	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/wire"
+)
+
+const (
+	// ringSize bounds the datagrams that wait for the duty.
+	ringSize = 1024
+	// tick is the interval of the table.
+	tick = 100 * time.Millisecond
+	// publishInterval is the longest time between two snapshots.
+	publishInterval = time.Second
+	// announceTo is the number of members that are told of a revision.
+	announceTo = 4
+	// leaseInterval is the time between two announcements of new leases.
+	leaseInterval = 500 * time.Millisecond
+	// deliverTimeout bounds the wait for the ring of another duty. What it does
+	// not take in time comes again with the next datagrams.
+	deliverTimeout = 5 * time.Millisecond
+	// errorDelay is the wait after a failed read, so that a socket with a lasting
+	// fault does not take a core.
+	errorDelay = 10 * time.Millisecond
+	// hearTime is the time that the fleet needs to hear of a leaving node, as
+	// measured by the tables of package member.
+	hearTime = 2 * time.Second
+)
+
+// Service keeps the membership.
+type Service struct {
+	// Conn receives and sends datagrams.
+	Conn *net.UDPConn
+	// Self is the node itself; its incarnation is the start of the process in
+	// nanoseconds.
+	Self member.Member
+	// Seeds are nodes to announce the start to before there is a register.
+	Seeds []netip.AddrPort
+	// Random is the random source.
+	Random *rand.Rand
+	// Log receives changes of members.
+	Log *log.Logger
+
+	configuration configuration
+	revisions     revisions
+	ejections     ejections
+	credentials   *credentials.Service
+	scope         tally.Scope
+
+	commands  *ring.Ring[command]
+	table     member.Table
+	snapshot  atomic.Pointer[snapshot]
+	known     *config.Configuration
+	outgoing  outgoing
+	number    uint64
+	version   uint64
+	published time.Time
+	leasesAt  time.Time
+	counted   member.Counters
+}
+
+// configuration is the part of the config service that tells the register.
+type configuration interface {
+	Current() *config.Configuration
+}
+
+// revisions is the part of the config service that exchanges revisions.
+type revisions interface {
+	// Heard takes the revision of another node.
+	Heard(ctx context.Context, vm string, node netip.AddrPort, rev config.Revision, serving bool) error
+	// Serving reports whether this node serves.
+	Serving() bool
+	// Adopted delivers each revision that this node put in force.
+	Adopted() *ring.Ring[config.Revision]
+}
+
+// ejections is the part of the ejection service that exchanges leases.
+type ejections interface {
+	// Leases returns the leases that run.
+	Leases(now time.Time) []floor.Lease
+	// Merge takes leases of other nodes.
+	Merge(ctx context.Context, ls []floor.Lease) error
+}
+
+// command is a command to the duty.
+type command func(now time.Time)
+
+// Bind implements kernel.Service.
+func (s *Service) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.credentials, err = kernel.Find[*credentials.Service](dir, service.Credentials); err != nil {
+		return err
+	}
+	m, err := kernel.Find[*metrics.Service](dir, service.Metrics)
+	if err != nil {
+		return err
+	}
+	if err := s.find(dir); err != nil {
+		return err
+	}
+	s.scope = m.Scope().SubScope("gossip")
+	s.commands = ring.New[command](ringSize)
+	s.table = member.Table{Self: s.Self}
+	s.publish(time.Now())
+	return nil
+}
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	received := make(chan error, 1)
+	go func() { received <- s.receive() }()
+	go s.forwardAdopted(ctx)
+	s.send(time.Now(), s.table.Announce(s.Random, announceTo))
+	s.announceToSeeds(time.Now())
+	d := ring.Duty[command]{
+		Ring: s.commands, Interval: tick,
+		Handle: func(now time.Time, c command) { c(now) },
+		Tick:   s.tick,
+	}
+	if err := d.Run(ctx); err != nil {
+		return err
+	}
+	if err := s.Conn.Close(); err != nil {
+		return fmt.Errorf("close socket: %w", err)
+	}
+	return <-received
+}
+
+// receive is the duty that receives datagrams. It ends when the socket closes.
+func (s *Service) receive() error {
+	var known senders
+	buf := make([]byte, maxReceived)
+	for {
+		n, from, err := s.Conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			// Linux reports errors of earlier sends here, such as a port without a
+			// receiver.
+			s.scope.Counter("receive_errors").Inc(1)
+			time.Sleep(errorDelay)
+			continue
+		}
+		s.scope.Counter("received_bytes").Inc(int64(n))
+		d, err := open(s.credentials.Current().Keys, buf[:n])
+		if err != nil {
+			s.drop(err)
+			continue
+		}
+		now := time.Now()
+		if !known.fresh(now, d.GetSender(), d.GetRun(), d.GetNumber()) {
+			s.scope.Tagged(map[string]string{"cause": "replay"}).Counter("dropped").Inc(1)
+			continue
+		}
+		source := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if err := s.commands.Offer(func(now time.Time) { s.handle(now, d, source) }); err != nil {
+			s.scope.Tagged(map[string]string{"cause": "overload"}).Counter("dropped").Inc(1)
+		}
+	}
+}
+
+func (s *Service) drop(err error) {
+	cause := "shape"
+	switch {
+	case errors.Is(err, errSize):
+		cause = "size"
+	case errors.Is(err, errMAC):
+		cause = "authentication"
+	}
+	s.scope.Tagged(map[string]string{"cause": cause}).Counter("dropped").Inc(1)
+	s.Log.Debug("Dropped datagram.", "cause", cause, "err", err)
+}
+
+// handle takes a datagram that is authentic and new.
+func (s *Service) handle(now time.Time, d *wire.Datagram, source netip.AddrPort) {
+	s.send(now, s.table.Handle(now, fromDatagram(d, source)))
+	if rev, ok := fromRevision(d.GetRevision()); ok && s.revisions != nil {
+		s.deliver(func(ctx context.Context) error {
+			return s.revisions.Heard(ctx, d.GetSender(), source, rev, d.GetServing())
+		})
+	}
+	if len(d.GetLeases()) > 0 && s.ejections != nil && s.known != nil {
+		ls := fromLeases(now, s.known, d.GetLeases())
+		s.deliver(func(ctx context.Context) error { return s.ejections.Merge(ctx, ls) })
+	}
+}
+
+func (s *Service) deliver(do func(ctx context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
+	defer cancel()
+	if err := do(ctx); err != nil {
+		s.scope.Counter("not_delivered").Inc(1)
+		s.Log.Debug("Content not delivered.", "err", err)
+	}
+}
+
+func (s *Service) tick(now time.Time) {
+	if c := s.configuration.Current(); c != s.known {
+		s.adopt(now, c)
+	}
+	if s.ejections != nil {
+		s.outgoing.refresh(s.ejections.Leases(now))
+	}
+	s.send(now, s.table.Tick(now, s.Random))
+	if s.outgoing.unsent() && now.Sub(s.leasesAt) >= leaseInterval {
+		s.leasesAt = now
+		s.send(now, s.table.Announce(s.Random, 1))
+	}
+	if now.Sub(s.published) >= publishInterval || s.table.Version() != s.version {
+		s.publish(now)
+	}
+}
+
+// adopt takes the members of a configuration.
+func (s *Service) adopt(now time.Time, c *config.Configuration) {
+	first := s.known == nil
+	s.known = c
+	ms := make([]member.Member, 0, len(c.VMs))
+	for _, v := range c.VMs {
+		ms = append(ms, member.Member{Name: v.Name, Region: v.Region, DataCentre: v.DataCentre, Address: v.Node})
+	}
+	// Ordered members make the sorting of each snapshot cheap.
+	slices.SortFunc(ms, func(a, b member.Member) int { return strings.Compare(a.Name, b.Name) })
+	s.table.SetRegister(now, ms)
+	if first {
+		s.send(now, s.table.Announce(s.Random, 2*announceTo))
+	}
+}
+
+// announceToSeeds tells the nodes of the settings that this one started.
+func (s *Service) announceToSeeds(now time.Time) {
+	for _, a := range s.Seeds {
+		s.send(now, []member.Action{{To: a, Message: member.Message{Kind: member.Announce, From: s.Self.Name,
+			Incarnation: s.table.Incarnation()}}})
+	}
+}
+
+// send sends messages with the revision and the leases of this node.
+func (s *Service) send(now time.Time, as []member.Action) {
+	key := s.credentials.Current().Keys[0]
+	for _, a := range as {
+		d := toDatagram(a.Message)
+		s.number++
+		d.Run, d.Number = s.Self.Incarnation, s.number
+		if c := s.configuration.Current(); c != nil {
+			d.Revision = toRevision(c.Revision)
+		}
+		d.Serving = s.revisions != nil && s.revisions.Serving()
+		s.outgoing.fill(now, d, MaxDatagram-sha256.Size)
+		raw, err := seal(key, d)
+		if err != nil {
+			s.Log.Error("Datagram not sent.", "err", err)
+			continue
+		}
+		s.scope.Counter("sent").Inc(1)
+		s.scope.Counter("sent_bytes").Inc(int64(len(raw)))
+		if _, err := s.Conn.WriteToUDPAddrPort(raw, a.To); err != nil {
+			s.scope.Counter("send_errors").Inc(1)
+		}
+	}
+}
+
+// forwardAdopted announces each revision that this node adopts.
+func (s *Service) forwardAdopted(ctx context.Context) {
+	if s.revisions == nil {
+		return
+	}
+	for {
+		if _, err := s.revisions.Adopted().Take(ctx); err != nil {
+			return
+		}
+		announce := func(now time.Time) { s.send(now, s.table.Announce(s.Random, announceTo)) }
+		if err := s.commands.Put(ctx, announce); err != nil {
+			return
+		}
+	}
+}
+
+// Hint takes the platform's list of VMs.
+func (s *Service) Hint(ctx context.Context, list []platform.VM) error {
+	hints := make(map[string]member.Hint, len(list))
+	for _, v := range list {
+		hints[v.Name] = member.HintLive
+		if v.State == platform.StateLeaving {
+			hints[v.Name] = member.HintLeaving
+		}
+	}
+	return s.commands.Put(ctx, func(now time.Time) { s.table.Hint(now, hints) })
+}
+
+// Paused tells that the process was paused until now.
+func (s *Service) Paused(time.Time) {
+	// The table notices the pause itself when the ring has no room.
+	_ = s.commands.Offer(func(now time.Time) { s.table.Resume(now) })
+}
+
+// Leave implements kernel.Leaver: it announces that the node leaves and
+// returns when the others had the time to hear it.
+func (s *Service) Leave(ctx context.Context) error {
+	leave := func(now time.Time) {
+		s.send(now, s.table.Leave(s.Random))
+		s.publish(now)
+	}
+	if err := s.commands.Put(ctx, leave); err != nil {
+		return fmt.Errorf("announce leaving: %w", err)
+	}
+	t := time.NewTimer(hearTime)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("announce leaving: %w", ctx.Err())
+	}
+}
+
+// find looks up the services whose content the datagrams carry.
+func (s *Service) find(dir *kernel.Directory) error {
+	var err error
+	if s.configuration, err = kernel.Find[configuration](dir, service.Config); err != nil {
+		return err
+	}
+	// The config service exchanges no revisions yet, and no ejection service is
+	// registered.
+	s.revisions, _ = s.configuration.(revisions)
+	return nil
+}
--- /dev/null
+++ b/lib/service/gossip/leases.go
@@ -0,0 +1,77 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiarack.example/lib/decision/floor"
+	"cassiarack.example/lib/wire"
+)
+
+// leaseKey names a token of a service.
+type leaseKey struct {
+	service string
+	token   int
+}
+
+// sent counts how often the newest lease of a token was sent.
+type sent struct {
+	sequence uint64
+	count    int
+}
+
+// queued is a lease and the number of times that it was sent.
+type queued struct {
+	lease floor.Lease
+	count int
+}
+
+// outgoing holds the leases to send, those that were sent least first.
+type outgoing struct {
+	leases []queued
+	counts map[leaseKey]sent
+}
+
+// refresh takes the leases that run now.
+func (o *outgoing) refresh(ls []floor.Lease) {
+	counts := make(map[leaseKey]sent, len(ls))
+	o.leases = o.leases[:0]
+	for _, l := range ls {
+		k := leaseKey{l.Service, l.Token}
+		c := o.counts[k]
+		if c.sequence != l.Sequence {
+			c = sent{sequence: l.Sequence}
+		}
+		counts[k] = c
+		o.leases = append(o.leases, queued{lease: l, count: c.count})
+	}
+	o.counts = counts
+	slices.SortStableFunc(o.leases, func(a, b queued) int { return cmp.Compare(a.count, b.count) })
+}
+
+// unsent reports whether a lease was never sent.
+func (o *outgoing) unsent() bool { return len(o.leases) > 0 && o.leases[0].count == 0 }
+
+// fill adds leases to a datagram up to the size limit.
+func (o *outgoing) fill(now time.Time, d *wire.Datagram, room int) {
+	size := proto.Size(d)
+	n := 0
+	for ; n < len(o.leases); n++ {
+		w := toLease(now, o.leases[n].lease)
+		// A field takes two bytes for its number and up to two for its length.
+		size += proto.Size(w) + 4
+		if size > room {
+			break
+		}
+		if w.GetRemaining() > 0 {
+			d.Leases = append(d.Leases, w)
+		}
+		q := &o.leases[n]
+		q.count++
+		o.counts[leaseKey{q.lease.Service, q.lease.Token}] = sent{sequence: q.lease.Sequence, count: q.count}
+	}
+	o.leases = append(slices.Clone(o.leases[n:]), o.leases[:n]...)
+}
--- a/lib/service/names.go
+++ b/lib/service/names.go
@@ -19,4 +19,6 @@
 	Pause     = "pause"
 	Admin     = "admin"
 	Decisions = "decisions"
+	// Credentials holds the keys and certificates of the node.
+	Credentials = "credentials"
 )
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -10,6 +10,7 @@
 
 	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
@@ -59,6 +60,7 @@
 	// Random is the random source.
 	Random *rand.Rand
 
+	members  members
 	commands *ring.Ring[command]
 	chooser  choice.Chooser[P]
 	picture  map[string]*picture
@@ -81,8 +83,17 @@
 	Report(ctx context.Context, r Report) error
 }
 
+// members is the part of the gossip service that tells the state of a node.
+type members interface {
+	State(vm string) member.State
+}
+
 // Bind implements kernel.Service.
-func (s *Service[P]) Bind(*kernel.Directory) error {
+func (s *Service[P]) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
+		return err
+	}
 	s.commands = ring.New[command](ringSize)
 	s.chooser = choice.Chooser[P]{Policy: s.Policy, Random: s.Random}
 	s.picture = make(map[string]*picture)
@@ -152,9 +163,38 @@
 		}
 		cs = append(cs, s.candidate(i))
 	}
+	s.weigh(q.Service, cs)
 	return cs
 }
 
+// weigh takes instances of dead and leaving nodes out of the choice. Dead ones
+// are chosen when no other is left, as it is then more likely that this node
+// does not hear the others.
+func (s *Service[P]) weigh(svc *config.Service, cs []choice.Candidate) {
+	vms := make(map[string]string, len(svc.Instances))
+	for _, i := range svc.Instances {
+		vms[i.Name] = i.VM.Name
+	}
+	var dead []int
+	live := false
+	for i := range cs {
+		switch s.members.State(vms[cs[i].Instance]) {
+		case member.Leaving:
+			cs[i].Weight = 0
+		case member.Dead:
+			dead = append(dead, i)
+		default:
+			live = live || cs[i].Weight > 0
+		}
+	}
+	if !live {
+		return
+	}
+	for _, i := range dead {
+		cs[i].Weight = 0
+	}
+}
+
 func (s *Service[P]) candidate(i *config.Instance) choice.Candidate {
 	p := s.of(i.Name)
 	return choice.Candidate{
--- a/node/main.go
+++ b/node/main.go
@@ -43,5 +43,5 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, s, o.logLevel)
+	return serve(ctx, s, o)
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -8,19 +8,24 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"cassiarack.example/lib/decision/choice"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/input/settings"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/platform"
 	"cassiarack.example/lib/service"
 	"cassiarack.example/lib/service/admin"
 	"cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/credentials"
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/lib/service/gate"
+	"cassiarack.example/lib/service/gossip"
 	"cassiarack.example/lib/service/handoff"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/service/peers"
@@ -30,7 +35,9 @@
 
 // listeners are the sockets of a node.
 type listeners struct {
-	callers, fleet, admin net.Listener
+	fleet, admin net.Listener
+	// datagrams has the address of fleet.
+	datagrams *net.UDPConn
 }
 
 func listen(s *settings.Settings) (*listeners, error) {
@@ -43,9 +50,12 @@
 		}
 		return lis
 	}
-	l.callers = open("callers", s.Callers)
 	l.fleet = open("other nodes", s.Fleet)
 	l.admin = open("operators", s.Admin)
+	var err error
+	if l.datagrams, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Fleet)); err != nil {
+		errs = append(errs, fmt.Errorf("listen for datagrams: %w", err))
+	}
 	return &l, errors.Join(errs...)
 }
 
@@ -55,6 +65,8 @@
 	listeners   *listeners
 	incarnation uint64
 	level       log.Level
+	// read returns the settings as they are now.
+	read func() (*settings.Settings, error)
 }
 
 // log returns the logger of a part.
@@ -63,8 +75,8 @@
 		TimeFormat: time.RFC3339Nano})
 }
 
-func serve(ctx context.Context, s *settings.Settings, logLevel string) error {
-	level, err := log.ParseLevel(logLevel)
+func serve(ctx context.Context, s *settings.Settings, o *options) error {
+	level, err := log.ParseLevel(o.logLevel)
 	if err != nil {
 		return fmt.Errorf("flag --log-level: %w", err)
 	}
@@ -77,9 +89,10 @@
 	if err != nil {
 		return err
 	}
-	n := &node{settings: s, listeners: l, incarnation: uint64(time.Now().UnixNano()), level: level}
+	n := &node{settings: s, listeners: l, incarnation: uint64(time.Now().UnixNano()), level: level,
+		read: o.settings}
 	k := &kernel.Kernel{Registrations: n.registrations(), Log: n.log("kernel"), DrainTimeout: s.DrainTimeout}
-	n.log("node").Info("Started.", "vm", s.Name, "callers", l.callers.Addr(), "fleet", l.fleet.Addr(),
+	n.log("node").Info("Started.", "vm", s.Name, "callers", s.Callers, "fleet", l.fleet.Addr(),
 		"admin", l.admin.Addr())
 	err = k.Run(ctx)
 	n.log("node").Info("Stopped.", "vm", s.Name)
@@ -90,7 +103,25 @@
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
 	seed := rand.NewPCG(n.incarnation, uint64(os.Getpid()))
+	reread := make(chan os.Signal, 1)
+	signal.Notify(reread, syscall.SIGHUP)
 	return []kernel.Registration{
+		{
+			Name:    service.Credentials,
+			Service: &credentials.Service{Read: n.read, Reread: reread, Log: n.log("credentials")},
+		},
+		{
+			Name:  service.Gossip,
+			Needs: []string{service.Config, service.Credentials, service.Metrics},
+			Service: &gossip.Service{
+				Conn: n.listeners.datagrams,
+				Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
+					Incarnation: n.incarnation},
+				Seeds:  s.Peers,
+				Random: rand.New(rand.NewPCG(n.incarnation, uint64(os.Getpid()))),
+				Log:    n.log("gossip"),
+			},
+		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
 		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
 		{Name: service.Config, Service: &config.Service{Log: n.log("config")}},
@@ -101,11 +132,13 @@
 		},
 		{
 			Name:    service.Router,
+			Needs:   []string{service.Gossip},
 			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: rand.New(seed)},
 		},
 		{
+			// The gate refuses new work only after gossip announced the stop.
 			Name:    service.Gate,
-			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Gossip},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
 		{
@@ -115,13 +148,14 @@
 		},
 		{
 			Name:  service.Front,
-			Needs: []string{service.Handoff},
-			Service: &front.Service{Listener: n.listeners.callers, VM: s.Name, Timeout: s.RequestTimeout,
+			Needs: []string{service.Config, service.Handoff},
+			Service: &front.Service{Address: s.Callers, VM: s.Name, Timeout: s.RequestTimeout,
 				Log: n.log("front")},
 		},
 		{
-			Name:  service.Admin,
-			Needs: []string{service.Config, service.Metrics, service.Gate, service.Peers, service.Router},
+			Name: service.Admin,
+			Needs: []string{service.Config, service.Metrics, service.Gate, service.Gossip, service.Peers,
+				service.Router, service.Front},
 			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
 				Log: n.log("admin")},
 		},
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -158,6 +158,7 @@
 	settings, err := json.MarshalIndent(map[string]any{
 		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
 		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress,
+		"fleetKeys": []string{"local fleet"},
 	}, "", "  ")
 	if err != nil {
 		return fmt.Errorf("render settings: %w", err)
