--- a/lib/service/admin/admin.go
+++ b/lib/service/admin/admin.go
@@ -63,6 +63,13 @@
 	Accepting() bool
 }
 
+// State is the state of one node in detail.
+type State struct {
+	VM string `json:"vm"`
+	configservice.State
+	Instances []InstanceState `json:"instances"`
+}
+
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
@@ -122,8 +129,13 @@
 }
 
 func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.config.Current() == nil || !s.front.Accepting() {
-		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	st := s.config.State()
+	switch {
+	case !st.Serving:
+		http.Error(w, "not serving: "+st.Waiting, http.StatusServiceUnavailable)
+		return
+	case !s.front.Accepting():
+		http.Error(w, "not serving: the callers' address is closed", http.StatusServiceUnavailable)
 		return
 	}
 	fmt.Fprintln(w, "serving")
@@ -137,7 +149,7 @@
 	}
 	n := NodeState{VM: s.VM}
 	n.fill(reply)
-	s.writeJSON(w, n)
+	s.writeJSON(w, State{VM: s.VM, State: s.config.State(), Instances: n.Instances})
 }
 
 func (s *Service) fleet(w http.ResponseWriter, r *http.Request) {
--- a/lib/service/admin/explain.go
+++ b/lib/service/admin/explain.go
@@ -24,8 +24,7 @@
 	DataCentre  string  `json:"dataCentre"`
 	Weight      float64 `json:"weight"`
 	Outstanding int     `json:"outstanding"`
-	Running     int     `json:"running"`
-	Waiting     int     `json:"waiting"`
+	Others      int     `json:"others"`
 	Reason      string  `json:"reason,omitempty"`
 }
 
@@ -54,12 +53,8 @@
 		return
 	}
 	for _, x := range candidates {
-		dc := ""
-		if i := c.Instances[x.Instance]; i != nil {
-			dc = i.VM.DataCentre
-		}
-		out.Candidates = append(out.Candidates, Candidate{Instance: x.Instance, DataCentre: dc, Weight: x.Weight,
-			Outstanding: x.Outstanding, Running: x.Running, Waiting: x.Waiting})
+		out.Candidates = append(out.Candidates, Candidate{Instance: x.Instance, DataCentre: x.DataCentre,
+			Weight: x.Weight, Outstanding: x.Outstanding, Others: x.Others})
 	}
 	s.writeJSON(w, out)
 }
--- a/lib/service/front/front.go
+++ b/lib/service/front/front.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +14,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
-	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/service"
@@ -44,10 +43,8 @@
 
 // Service serves callers.
 type Service struct {
-	// Address is where callers connect. The service listens there when the node
-	// serves for the first time, so that callers of a node that just started go
-	// to another.
-	Address netip.AddrPort
+	// Listener accepts the connections of callers.
+	Listener net.Listener
 	// VM is the name of the node's VM.
 	VM string
 	// Timeout is the deadline of requests that state none.
@@ -55,29 +52,30 @@
 	// Log receives failures of the server.
 	Log *log.Logger
 
-	config   configuration
 	handoff  *handoff.Service
+	config   serving
 	server   *http.Server
 	open     connections
-	lis      atomic.Pointer[listener]
+	lis      *listener
+	started  time.Time
 	draining atomic.Bool
 }
 
-// configuration is the part of the config service that tells whether the node
-// may serve.
-type configuration interface {
-	Current() *config.Configuration
+// serving tells whether the node may serve.
+type serving interface {
+	Serving() bool
 }
 
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
-	if s.config, err = kernel.Find[configuration](dir, service.Config); err != nil {
+	if s.handoff, err = kernel.Find[*handoff.Service](dir, service.Handoff); err != nil {
 		return err
 	}
-	if s.handoff, err = kernel.Find[*handoff.Service](dir, service.Handoff); err != nil {
+	if s.config, err = kernel.Find[serving](dir, service.Config); err != nil {
 		return err
 	}
+	s.lis, s.started = &listener{Listener: s.Listener}, time.Now()
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	r.NewRoute().HandlerFunc(s.serve)
 	s.server = &http.Server{
@@ -100,19 +98,26 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if !s.awaitServing(ctx) {
+		writeFailure(w, &request.Failure{Outcome: request.NotRun, Reason: request.ReasonNotServing,
+			Detail: "the node waits until another node confirms its configuration"})
+		return
+	}
 	req, failure := s.request(r, time.Now())
 	if failure != nil {
 		writeFailure(w, failure)
 		return
 	}
+	var up *upload
 	if r.Body != nil && r.Body != http.NoBody {
-		up := newUpload(w, r)
+		up = newUpload(w, r)
 		defer up.stop()
 		req.Body = up.open
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	answer, failure := s.handoff.Do(ctx, req)
+	up.fullDuplex(failure != nil)
 	if failure != nil {
 		writeFailure(w, failure)
 		return
--- a/lib/service/front/listen.go
+++ b/lib/service/front/listen.go
@@ -11,7 +11,11 @@
 )
 
 const (
-	// servePoll is how often the service looks whether the node may serve.
+	// startTime is how long after its start a node lets requests wait until it
+	// serves. Fetching and confirming a configuration takes less than a second;
+	// without the wait each restart would fail the requests of that time.
+	startTime = 5 * time.Second
+	// servePoll is how often a waiting request looks whether the node serves.
 	servePoll = 20 * time.Millisecond
 	// linger is how long connections without a request stay open after the
 	// listener closed. A caller that sends a request in this time gets its answer
@@ -22,21 +26,6 @@
 
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
-	if !s.awaitConfiguration(ctx) {
-		<-ctx.Done()
-		return nil
-	}
-	raw, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Address))
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	lis := &listener{TCPListener: raw}
-	s.lis.Store(lis)
-	if s.draining.Load() {
-		// The drain may have looked before the listener was there.
-		_ = lis.Close()
-	}
-	s.Log.Info("Accepting callers.", "address", s.Address)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -45,7 +34,7 @@
 			s.Log.Debug("Server closed.", "err", err)
 		}
 	}()
-	err = s.server.Serve(lis)
+	err := s.server.Serve(s.lis)
 	if !errors.Is(err, http.ErrServerClosed) && !s.draining.Load() {
 		return fmt.Errorf("serve callers: %w", err)
 	}
@@ -53,51 +42,49 @@
 	return nil
 }
 
-// awaitConfiguration waits until the node may serve. It reports false when the
-// node stops before.
-func (s *Service) awaitConfiguration(ctx context.Context) bool {
+// awaitServing reports whether the node serves. Shortly after the start it
+// waits for that.
+func (s *Service) awaitServing(ctx context.Context) bool {
+	if s.config.Serving() {
+		return true
+	}
+	ctx, cancel := context.WithDeadline(ctx, s.started.Add(startTime))
+	defer cancel()
 	t := time.NewTicker(servePoll)
 	defer t.Stop()
-	for s.config.Current() == nil {
-		if s.draining.Load() {
-			return false
-		}
+	for !s.config.Serving() {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return false
+			return s.config.Serving()
 		}
 	}
 	return true
 }
 
+// Accepting reports whether callers can connect.
+func (s *Service) Accepting() bool { return !s.draining.Load() }
+
 // listener is closed by Drain and later by the server; the second close does
 // nothing.
 type listener struct {
-	*net.TCPListener
+	net.Listener
 	once sync.Once
 	err  error
 }
 
 // Close implements net.Listener.
 func (l *listener) Close() error {
-	l.once.Do(func() { l.err = l.TCPListener.Close() })
+	l.once.Do(func() { l.err = l.Listener.Close() })
 	return l.err
 }
 
-// Accepting reports whether callers can connect.
-func (s *Service) Accepting() bool { return s.lis.Load() != nil && !s.draining.Load() }
-
 // Drain implements kernel.Drainer. The listener closes, answers tell the
 // callers to close their connections, and Drain returns when all requests are
 // answered.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-	lis := s.lis.Load()
-	if lis == nil {
-		return nil
-	}
-	if err := lis.Close(); err != nil {
+	if err := s.lis.Close(); err != nil {
 		s.Log.Debug("Listener closed.", "err", err)
 	}
 	s.open.wait(ctx, linger)
--- a/lib/service/gossip/gossip.go
+++ b/lib/service/gossip/gossip.go
@@ -20,9 +20,9 @@
 	"cassiarack.example/lib/decision/floor"
 	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/kernel"
-	"cassiarack.example/lib/platform"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
+	configservice "cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/service/credentials"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/wire"
@@ -64,16 +64,16 @@
 	// Log receives changes of members.
 	Log *log.Logger
 
-	configuration configuration
-	revisions     revisions
-	ejections     ejections
-	credentials   *credentials.Service
-	scope         tally.Scope
+	revisions   revisions
+	ejections   ejections
+	credentials *credentials.Service
+	scope       tally.Scope
 
 	commands  *ring.Ring[command]
 	table     member.Table
 	snapshot  atomic.Pointer[snapshot]
 	known     *config.Configuration
+	list      *configservice.List
 	outgoing  outgoing
 	number    uint64
 	version   uint64
@@ -82,13 +82,15 @@
 	counted   member.Counters
 }
 
-// configuration is the part of the config service that tells the register.
-type configuration interface {
-	Current() *config.Configuration
-}
-
 // revisions is the part of the config service that exchanges revisions.
 type revisions interface {
+	// Current returns the configuration in force.
+	Current() *config.Configuration
+	// Known returns the configuration that tells which nodes exist, in force or
+	// not.
+	Known() *config.Configuration
+	// List returns the platform's list of VMs, or nil.
+	List() *configservice.List
 	// Heard takes the revision of another node.
 	Heard(ctx context.Context, vm string, node netip.AddrPort, rev config.Revision, serving bool) error
 	// Serving reports whether this node serves.
@@ -118,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.find(dir); err != nil {
+	if s.revisions, err = kernel.Find[revisions](dir, service.Config); err != nil {
 		return err
 	}
 	s.scope = m.Scope().SubScope("gossip")
@@ -130,8 +132,11 @@
 
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
-	received := make(chan error, 1)
-	go func() { received <- s.receive() }()
+	received := make(chan struct{})
+	go func() {
+		defer close(received)
+		s.receive()
+	}()
 	go s.forwardAdopted(ctx)
 	s.send(time.Now(), s.table.Announce(s.Random, announceTo))
 	s.announceToSeeds(time.Now())
@@ -146,18 +151,19 @@
 	if err := s.Conn.Close(); err != nil {
 		return fmt.Errorf("close socket: %w", err)
 	}
-	return <-received
+	<-received
+	return nil
 }
 
 // receive is the duty that receives datagrams. It ends when the socket closes.
-func (s *Service) receive() error {
+func (s *Service) receive() {
 	var known senders
 	buf := make([]byte, maxReceived)
 	for {
 		n, from, err := s.Conn.ReadFromUDPAddrPort(buf)
 		switch {
 		case errors.Is(err, net.ErrClosed):
-			return nil
+			return
 		case err != nil:
 			// Linux reports errors of earlier sends here, such as a port without a
 			// receiver.
@@ -198,7 +204,7 @@
 // handle takes a datagram that is authentic and new.
 func (s *Service) handle(now time.Time, d *wire.Datagram, source netip.AddrPort) {
 	s.send(now, s.table.Handle(now, fromDatagram(d, source)))
-	if rev, ok := fromRevision(d.GetRevision()); ok && s.revisions != nil {
+	if rev, ok := fromRevision(d.GetRevision()); ok {
 		s.deliver(func(ctx context.Context) error {
 			return s.revisions.Heard(ctx, d.GetSender(), source, rev, d.GetServing())
 		})
@@ -219,9 +225,13 @@
 }
 
 func (s *Service) tick(now time.Time) {
-	if c := s.configuration.Current(); c != s.known {
+	if c := s.revisions.Known(); c != s.known {
 		s.adopt(now, c)
 	}
+	if l := s.revisions.List(); l != s.list {
+		s.list = l
+		s.table.Hint(now, hints(l))
+	}
 	if s.ejections != nil {
 		s.outgoing.refresh(s.ejections.Leases(now))
 	}
@@ -266,10 +276,10 @@
 		d := toDatagram(a.Message)
 		s.number++
 		d.Run, d.Number = s.Self.Incarnation, s.number
-		if c := s.configuration.Current(); c != nil {
+		if c := s.revisions.Current(); c != nil {
 			d.Revision = toRevision(c.Revision)
 		}
-		d.Serving = s.revisions != nil && s.revisions.Serving()
+		d.Serving = s.revisions.Serving()
 		s.outgoing.fill(now, d, MaxDatagram-sha256.Size)
 		raw, err := seal(key, d)
 		if err != nil {
@@ -286,9 +296,6 @@
 
 // forwardAdopted announces each revision that this node adopts.
 func (s *Service) forwardAdopted(ctx context.Context) {
-	if s.revisions == nil {
-		return
-	}
 	for {
 		if _, err := s.revisions.Adopted().Take(ctx); err != nil {
 			return
@@ -300,16 +307,16 @@
 	}
 }
 
-// Hint takes the platform's list of VMs.
-func (s *Service) Hint(ctx context.Context, list []platform.VM) error {
-	hints := make(map[string]member.Hint, len(list))
-	for _, v := range list {
-		hints[v.Name] = member.HintLive
-		if v.State == platform.StateLeaving {
-			hints[v.Name] = member.HintLeaving
-		}
+// hints converts the platform's list of VMs.
+func hints(l *configservice.List) map[string]member.Hint {
+	out := make(map[string]member.Hint)
+	for _, vm := range l.VMs(configservice.VMLive) {
+		out[vm] = member.HintLive
+	}
+	for _, vm := range l.VMs(configservice.VMLeaving) {
+		out[vm] = member.HintLeaving
 	}
-	return s.commands.Put(ctx, func(now time.Time) { s.table.Hint(now, hints) })
+	return out
 }
 
 // Paused tells that the process was paused until now.
@@ -337,15 +344,3 @@
 		return fmt.Errorf("announce leaving: %w", ctx.Err())
 	}
 }
-
-// find looks up the services whose content the datagrams carry.
-func (s *Service) find(dir *kernel.Directory) error {
-	var err error
-	if s.configuration, err = kernel.Find[configuration](dir, service.Config); err != nil {
-		return err
-	}
-	// The config service exchanges no revisions yet, and no ejection service is
-	// registered.
-	s.revisions, _ = s.configuration.(revisions)
-	return nil
-}
--- a/node/serve.go
+++ b/node/serve.go
@@ -35,7 +35,7 @@
 
 // listeners are the sockets of a node.
 type listeners struct {
-	fleet, admin net.Listener
+	callers, fleet, admin net.Listener
 	// datagrams has the address of fleet.
 	datagrams *net.UDPConn
 }
@@ -50,6 +50,7 @@
 		}
 		return lis
 	}
+	l.callers = open("callers", s.Callers)
 	l.fleet = open("other nodes", s.Fleet)
 	l.admin = open("operators", s.Admin)
 	var err error
@@ -92,17 +93,19 @@
 	n := &node{settings: s, listeners: l, incarnation: uint64(time.Now().UnixNano()), level: level,
 		read: o.settings}
 	k := &kernel.Kernel{Registrations: n.registrations(), Log: n.log("kernel"), DrainTimeout: s.DrainTimeout}
-	n.log("node").Info("Started.", "vm", s.Name, "callers", s.Callers, "fleet", l.fleet.Addr(),
+	n.log("node").Info("Started.", "vm", s.Name, "callers", l.callers.Addr(), "fleet", l.fleet.Addr(),
 		"admin", l.admin.Addr())
 	err = k.Run(ctx)
 	n.log("node").Info("Stopped.", "vm", s.Name)
 	return err
 }
 
+// random returns a random source for one service.
+func (n *node) random() *rand.Rand { return rand.New(rand.NewPCG(n.incarnation, rand.Uint64())) }
+
 // registrations lists the services of a node.
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
-	seed := rand.NewPCG(n.incarnation, uint64(os.Getpid()))
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
 	return []kernel.Registration{
@@ -118,22 +121,28 @@
 				Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
 					Incarnation: n.incarnation},
 				Seeds:  s.Peers,
-				Random: rand.New(rand.NewPCG(n.incarnation, uint64(os.Getpid()))),
+				Random: n.random(),
 				Log:    n.log("gossip"),
 			},
 		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
 		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
-		{Name: service.Config, Service: &config.Service{Log: n.log("config")}},
 		{
-			Name:    service.Reader,
-			Needs:   []string{service.Config},
-			Service: &reader.Service{Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
+			Name:  service.Config,
+			Needs: []string{service.Peers, service.Metrics},
+			Service: &config.Service{VM: s.Name, DataCentre: s.DataCentre, Asked: s.Peers, Random: n.random(),
+				Log: n.log("config")},
+		},
+		{
+			Name:  service.Reader,
+			Needs: []string{service.Config, service.Metrics, service.Gossip},
+			Service: &reader.Service{VM: s.Name, DataCentre: s.DataCentre, Random: n.random(),
+				Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
 		},
 		{
 			Name:    service.Router,
 			Needs:   []string{service.Gossip},
-			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: rand.New(seed)},
+			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: n.random()},
 		},
 		{
 			// The gate refuses new work only after gossip announced the stop.
@@ -148,8 +157,8 @@
 		},
 		{
 			Name:  service.Front,
-			Needs: []string{service.Config, service.Handoff},
-			Service: &front.Service{Address: s.Callers, VM: s.Name, Timeout: s.RequestTimeout,
+			Needs: []string{service.Handoff, service.Config},
+			Service: &front.Service{Listener: n.listeners.callers, VM: s.Name, Timeout: s.RequestTimeout,
 				Log: n.log("front")},
 		},
 		{
