--- a/lib/decision/member/table.go
+++ b/lib/decision/member/table.go
@@ -216,7 +216,9 @@
 // second; a longer gap than 500 ms counts as a pause.
 func (t *Table) Tick(now time.Time, rng *rand.Rand) []Action {
 	t.init()
-	if !t.lastTick.IsZero() && now.Sub(t.lastTick) > maxGap {
+	// The monotonic clock stands still while a VM is suspended.
+	gap := max(now.Sub(t.lastTick), now.Round(0).Sub(t.lastTick.Round(0)))
+	if !t.lastTick.IsZero() && gap > maxGap {
 		t.Resume(now)
 	}
 	t.lastTick = now
--- a/node/serve.go
+++ b/node/serve.go
@@ -28,6 +28,7 @@
 	"cassiarack.example/lib/service/gossip"
 	"cassiarack.example/lib/service/handoff"
 	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/pause"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/reader"
 	"cassiarack.example/lib/service/router"
@@ -139,6 +140,11 @@
 			Service: &reader.Service{VM: s.Name, DataCentre: s.DataCentre, Random: n.random(),
 				Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
 		},
+		{
+			Name:    service.Pause,
+			Needs:   []string{service.Metrics, service.Config, service.Gate, service.Gossip},
+			Service: &pause.Service{Log: n.log("pause")},
+		},
 		{
 			Name:    service.Router,
 			Needs:   []string{service.Gossip},
