--- a/lib/service/front/front.go
+++ b/lib/service/front/front.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -52,9 +52,13 @@
 	// Log receives failures of the server.
 	Log *log.Logger
 
-	handoff *handoff.Service
-	config  serving
-	server  *http.Server
+	handoff  *handoff.Service
+	config   serving
+	server   *http.Server
+	open     connections
+	lis      *listener
+	started  time.Time
+	draining atomic.Bool
 }
 
 // serving tells whether the node may serve.
@@ -71,6 +75,7 @@
 	if s.config, err = kernel.Find[serving](dir, service.Config); err != nil {
 		return err
 	}
+	s.lis, s.started = &listener{Listener: s.Listener}, time.Now()
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	r.NewRoute().HandlerFunc(s.serve)
 	s.server = &http.Server{
@@ -78,45 +83,22 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         s.open.note,
 		ErrorLog:          s.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return nil
 }
 
-// Run implements kernel.Service.
-func (s *Service) Run(ctx context.Context) error {
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		<-ctx.Done()
-		if err := s.server.Close(); err != nil {
-			s.Log.Debug("Server closed.", "err", err)
-		}
-	}()
-	err := s.server.Serve(s.Listener)
-	if !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers: %w", err)
-	}
-	<-stopped
-	return nil
-}
-
-// Drain implements kernel.Drainer: it accepts no more connections and returns
-// when all requests are answered.
-func (s *Service) Drain(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down: %w", err)
-	}
-	return nil
-}
-
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "request")
 	defer span.End()
 	span.SetAttributes(attribute.String("method", r.Method), attribute.String("path", r.URL.Path))
 	w.Header().Set(HeaderNode, s.VM)
-	if !s.config.Serving() {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if !s.awaitServing(ctx) {
 		writeFailure(w, &request.Failure{Outcome: request.NotRun, Reason: request.ReasonNotServing,
 			Detail: "the node waits until another node confirms its configuration"})
 		return
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -192,7 +192,7 @@
 	values := map[string]any{
 		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
 		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress, "profiling": true,
-		"peers": f.peers(v),
+		"peers": f.peers(v), "fleetKeys": []string{"local fleet"},
 	}
 	maps.Copy(values, f.Settings)
 	settings, err := json.MarshalIndent(values, "", "  ")
