--- a/standin/proof/configuration_test.go
+++ b/standin/proof/configuration_test.go
@@ -16,6 +16,7 @@
 	"cassiarack.example/lib/decision/reader"
 	"cassiarack.example/lib/decision/revision"
 	"cassiarack.example/lib/service/admin"
+	configservice "cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/standin/fleet"
 )
@@ -31,8 +32,8 @@
 	return fmt.Appendf(nil, "// change %d\n{}\n", n)
 }
 
-func state(ctx context.Context, v *fleet.VM) (admin.State, error) {
-	var st admin.State
+func state(ctx context.Context, v *fleet.VM) (configservice.State, error) {
+	var st configservice.State
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Admin.String()+"/state", nil)
 	if err != nil {
 		return st, err
@@ -42,12 +43,14 @@
 		return st, err
 	}
 	defer res.Body.Close()
-	return st, json.NewDecoder(res.Body).Decode(&st)
+	n := admin.NodeState{Configuration: &st}
+	err = json.NewDecoder(res.Body).Decode(&n)
+	return st, err
 }
 
 // await waits until the state of each VM with a process satisfies ok, and
 // returns how long each took.
-func await(t *testing.T, vms []*fleet.VM, ok func(admin.State) bool) []time.Duration {
+func await(t *testing.T, vms []*fleet.VM, ok func(configservice.State) bool) []time.Duration {
 	t.Helper()
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(t.Context(), spreadBound)
@@ -75,7 +78,7 @@
 // awaitRevision waits until a revision is in force and served everywhere.
 func awaitRevision(t *testing.T, f *fleet.Fleet, number uint64) time.Duration {
 	t.Helper()
-	took := await(t, f.VMs, func(s admin.State) bool { return s.Serving && s.Revision >= number })
+	took := await(t, f.VMs, func(s configservice.State) bool { return s.Serving && s.Revision >= number })
 	return took[len(took)-1]
 }
 
@@ -151,7 +154,7 @@
 		is.NoErr(v.KillNode())
 		is.NoErr(f.StartNode(v))
 		began := time.Now()
-		await(t, []*fleet.VM{v}, func(s admin.State) bool {
+		await(t, []*fleet.VM{v}, func(s configservice.State) bool {
 			if s.Revision != 0 && s.Revision < newest || s.Serving && s.Revision < newest {
 				t.Fatalf("%s: %s shows %+v, the fleet has %d", c.name, v.Name, s, newest)
 			}
@@ -160,7 +163,7 @@
 		t.Logf("%s: serves revision %d %v after its start", c.name, newest, time.Since(began))
 		awaitRevision(t, f, newest)
 	}
-	await(t, readers(f)[:1], func(s admin.State) bool {
+	await(t, readers(f)[:1], func(s configservice.State) bool {
 		for _, r := range s.Rejections {
 			if r.Verdict == revision.Older && r.Revision == 1 {
 				return true
@@ -184,7 +187,7 @@
 		{"{", "rules:1"},
 	} {
 		bad := f.Publish([]byte(c.rules))
-		await(t, readers(f)[:1], func(s admin.State) bool {
+		await(t, readers(f)[:1], func(s configservice.State) bool {
 			for _, r := range s.Rejections {
 				if r.Revision == bad && r.Verdict == revision.Invalid && strings.Contains(r.Reason, c.reason) {
 					t.Logf("rejected: %s", r.Reason)
@@ -193,7 +196,7 @@
 			}
 			return false
 		})
-		await(t, f.VMs, func(s admin.State) bool {
+		await(t, f.VMs, func(s configservice.State) bool {
 			if s.Revision != good {
 				t.Fatalf("revision %d in force, want %d", s.Revision, good)
 			}
@@ -212,12 +215,12 @@
 	is.NoErr(v.Process.Process.Signal(syscall.SIGSTOP))
 	stopped := time.Now()
 	number := f.Publish(rulesOf(1))
-	await(t, f.VMs[:len(f.VMs)-1], func(s admin.State) bool { return s.Revision == number })
+	await(t, f.VMs[:len(f.VMs)-1], func(s configservice.State) bool { return s.Revision == number })
 	const pause = 5 * time.Second
 	time.Sleep(pause - time.Since(stopped))
 	is.NoErr(v.Process.Process.Signal(syscall.SIGCONT))
 	woke := time.Now()
-	await(t, []*fleet.VM{v}, func(s admin.State) bool {
+	await(t, []*fleet.VM{v}, func(s configservice.State) bool {
 		if s.Serving && s.Revision < number {
 			t.Fatalf("serves %d after the pause, the fleet has %d", s.Revision, number)
 		}
@@ -237,7 +240,7 @@
 	v := f.VMs[0]
 	is.NoErr(v.KillNode())
 	is.NoErr(f.StartNode(v))
-	await(t, []*fleet.VM{v}, func(s admin.State) bool {
+	await(t, []*fleet.VM{v}, func(s configservice.State) bool {
 		is.True(!s.Serving)
 		is.Equal(s.Revision, uint64(0))
 		return s.Held == 1
