--- /dev/null
+++ b/lib/service/config/transfer_test.go
@@ -0,0 +1,171 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"storj.io/drpc"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/golden"
+	"cassiarack.example/lib/platform"
+	"cassiarack.example/lib/wire"
+)
+
+// stream records what a transfer sends and breaks after a number of parts.
+type stream struct {
+	drpc.Stream
+	parts  []*wire.FetchPart
+	breaks int
+}
+
+func (s *stream) Send(p *wire.FetchPart) error {
+	if s.breaks > 0 && len(s.parts) == s.breaks {
+		return errors.New("link lost")
+	}
+	s.parts = append(s.parts, p)
+	return nil
+}
+
+// contentOf returns the content of a revision.
+func contentOf(t *testing.T, number uint64, texts map[string]string) *Content {
+	t.Helper()
+	m := &platform.Manifest{Revision: number}
+	docs := make(map[string]config.Document)
+	for name, text := range texts {
+		docs[name] = config.NewDocument([]byte(text))
+		m.Documents = append(m.Documents, platform.Document{Name: name, Size: int64(len(text)),
+			SHA256: fmt.Sprintf("%x", docs[name].Digest)})
+	}
+	slices.SortFunc(m.Documents, func(a, b platform.Document) int { return strings.Compare(a.Name, b.Name) })
+	c, err := NewContent(m, docs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// exchange sends what r lacks of the giver's snapshot and renders the parts.
+func exchange(b *strings.Builder, r *receiver, p pull, sn *snapshot, breaks int, change func(*wire.Delta)) (*Content, error) {
+	s := &stream{breaks: breaks}
+	tr := &transfer{sn: sn, stream: s, request: r.request(p), held: make(map[string][]byte)}
+	for _, d := range tr.request.GetHeld() {
+		tr.held[d.GetName()] = d.GetDigest()
+	}
+	sendErr := tr.run()
+	m := fromManifest(s.parts[0].GetManifest())
+	if err := r.checkManifest(p, s.parts[0].GetManifest(), m); err != nil {
+		return nil, err
+	}
+	for _, part := range s.parts[1:] {
+		d := part.GetDelta()
+		if change != nil {
+			change(d)
+		}
+		fmt.Fprintf(b, "  %s: base %v, %d removed at %d, %d inserted, last %v\n", d.GetName(), len(d.GetBase()) > 0,
+			d.GetRemoved(), d.GetOffset(), len(d.GetInserted()), d.GetLast())
+		if err := r.take(p, m, d); err != nil {
+			return nil, err
+		}
+	}
+	if sendErr != nil {
+		return nil, sendErr
+	}
+	return r.finish(p, m)
+}
+
+// TestTransfer guards against documents that are sent again although the
+// receiver has them, against a transfer that starts anew after a lost link, and
+// against content that differs from its digest.
+func TestTransfer(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	long := strings.Repeat("0123456789abcdef", 10_000)
+	one := contentOf(t, 1, map[string]string{"register": long, "rules": "{}"})
+	two := contentOf(t, 2, map[string]string{"register": long[:80_000] + "X" + long[80_000:], "rules": "{}", "rules-more": "{}"})
+	var none *earlier
+	giver := &snapshot{content: two, earlier: none.add(one, two)}
+	run := func(name string, r *receiver, p pull, breaks int, change func(*wire.Delta)) {
+		fmt.Fprintf(&b, "# %s\n", name)
+		c, err := exchange(&b, r, p, giver, breaks, change)
+		if err != nil {
+			fmt.Fprintf(&b, "error: %v\n", err)
+			return
+		}
+		is.Equal(c.Revision, two.Revision)
+		for name, d := range c.Documents {
+			is.True(bytes.Equal(d.Text, two.Documents[name].Text))
+		}
+		fmt.Fprintf(&b, "revision %d\n", c.Revision.Number)
+	}
+	fresh := func() *receiver { return &receiver{stash: make(map[string]config.Document)} }
+	wanted := pull{rev: two.Revision}
+	run("nothing held", fresh(), wanted, 0, nil)
+	run("one revision behind", fresh(), pull{rev: two.Revision, have: one}, 0, nil)
+	broken := fresh()
+	run("link lost in the second piece", broken, wanted, 2, nil)
+	run("link lost again", broken, wanted, 4, nil)
+	run("resumed", broken, wanted, 0, nil)
+	run("changed bytes", fresh(), wanted, 0, func(d *wire.Delta) { d.Inserted = bytes.ToUpper(d.GetInserted()) })
+	run("gap between pieces", fresh(), wanted, 0, func(d *wire.Delta) { d.Offset++ })
+	run("document that is not listed", fresh(), wanted, 0, func(d *wire.Delta) { d.Name = "other" })
+	run("delta with a wrong range", fresh(), pull{rev: two.Revision, have: one}, 0, func(d *wire.Delta) { d.Removed = 1 << 40 })
+	run("another digest than wanted is told by the manifest", fresh(),
+		pull{rev: config.Revision{Number: 3}}, 0, nil)
+	golden.Check(t, "transfer", b.String())
+}
+
+// TestEarlierBound guards against memory that grows with each change.
+func TestEarlierBound(t *testing.T) {
+	is := is.New(t)
+	var e *earlier
+	old := contentOf(t, 1, map[string]string{"register": strings.Repeat("a", 1<<20)})
+	for n := range uint64(30) {
+		next := contentOf(t, n+2, map[string]string{"register": strings.Repeat(string(rune('b'+n%20)), 1<<20)})
+		e = e.add(old, next)
+		old = next
+	}
+	is.Equal(len(e.documents), maxEarlier>>20)
+}
+
+// TestList guards against a list of VMs that differs between the node that
+// read it and one that got only the changes.
+func TestList(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	listOf := func(number uint64, states ...string) *List {
+		l := &platform.VMList{Revision: number}
+		for _, s := range states {
+			name, state, _ := strings.Cut(s, " ")
+			l.VMs = append(l.VMs, platform.VM{Name: name, State: state})
+		}
+		return newList(l)
+	}
+	var own *List
+	lists := map[uint64]*List{0: nil}
+	for _, l := range []*List{
+		listOf(1, "a live", "b live", "c live"),
+		listOf(2, "a live", "b leaving", "c live"),
+		listOf(5, "a live", "c live", "d unheard-of"),
+	} {
+		own = l.follow(own)
+		lists[l.Number] = own
+	}
+	for _, number := range []uint64{0, 1, 2, 5} {
+		reply := own.after(number)
+		got := lists[number].apply(reply).follow(lists[number])
+		is.Equal(got.states, own.states)
+		slices.SortFunc(reply.Entries, func(a, b *wire.ListEntry) int { return strings.Compare(a.GetName(), b.GetName()) })
+		fmt.Fprintf(&b, "after %d: complete %v", number, reply.GetComplete())
+		for _, e := range reply.GetEntries() {
+			fmt.Fprintf(&b, ", %s %s", e.GetName(), e.GetState())
+		}
+		fmt.Fprintf(&b, "; live %v, leaving %v, b %s\n", got.VMs(VMLive), got.VMs(VMLeaving), got.State("b"))
+	}
+	golden.Check(t, "list", b.String())
+}
--- a/standin/proof/main_test.go
+++ b/standin/proof/main_test.go
@@ -50,7 +50,17 @@
 // start runs a fleet for the time of the test.
 func start(t *testing.T, d fleet.Deployment, rules string) *fleet.Fleet {
 	t.Helper()
-	f := &fleet.Fleet{Deployment: d, Node: nodeProgram, Folder: t.TempDir(), Rules: []byte(rules)}
+	return run(t, &fleet.Fleet{Deployment: d, Node: nodeProgram, Folder: t.TempDir(), Rules: []byte(rules)})
+}
+
+// startNodes runs a fleet of another node program.
+func startNodes(t *testing.T, program string, d fleet.Deployment) *fleet.Fleet {
+	t.Helper()
+	return run(t, &fleet.Fleet{Deployment: d, Node: program, Folder: t.TempDir()})
+}
+
+func run(t *testing.T, f *fleet.Fleet) *fleet.Fleet {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
 	defer cancel()
 	t.Cleanup(func() {
