Announce twice, and measure nodes with a configuration of the target size

Cause: the last of 200 nodes waited up to 1.12 s for the repair, and no figure told what a configuration of 3,300 VMs costs a real node.

Change: a node announces what it adopted again after 200 to 400 ms. A stand-in renders the target's register in documents of at most 1 MB.

--- a/lib/service/config/duty.go
+++ b/lib/service/config/duty.go
@@ -21,6 +21,11 @@
 	// announced is the number of nodes that are told of a new revision. Each
 	// of them tells as many, so that 3,300 nodes take about six rounds.
 	announced = 4
+	// secondAnnouncement is how long after the first one a node announces what it
+	// adopted again, and announcementJitter what is drawn in addition. One round
+	// to 4 nodes misses 2 in 100 nodes, two rounds miss 3 in 10,000.
+	secondAnnouncement = 200 * time.Millisecond
+	announcementJitter = 200 * time.Millisecond
 	// repairInterval is how often a node exchanges revisions with a random VM,
 	// which repairs lost announcements.
 	repairInterval = time.Second
@@ -45,6 +50,8 @@
 	inForce uint64
 	// seen is when the duty last ran, asked and repaired the last rounds.
 	seen, asked, repaired time.Time
+	// again is when to announce for the second time; zero for not at all.
+	again time.Time
 
 	// sources are nodes that have the wanted revision.
 	wanted  config.Revision
@@ -78,6 +85,10 @@
 		d.asked = now
 		s.ask()
 	}
+	if !d.again.IsZero() && now.After(d.again) {
+		d.again = time.Time{}
+		s.tell(announced)
+	}
 	if now.Sub(d.repaired) >= repairInterval {
 		d.repaired = now
 		s.tell(1)
@@ -114,6 +125,7 @@
 		s.Log.Info("Configuration in force.", "revision", d.inForce)
 		s.scope.Gauge("revision").Update(float64(d.inForce))
 		s.announce(d.conf.Revision)
+		d.again = now.Add(secondAnnouncement + time.Duration(s.Random.Int64N(int64(announcementJitter))))
 	}
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -31,6 +32,8 @@
 	Folder string
 	// Rules is the first rules document.
 	Rules []byte
+	// Documents are further documents of each revision.
+	Documents map[string][]byte
 
 	// Platform, VMs and Register are filled by Start.
 	Platform *platform.Server
@@ -84,7 +87,9 @@
 	if len(rules) == 0 {
 		rules = []byte("{}")
 	}
-	return f.Platform.Publish(map[string][]byte{"register": f.Register, "rules": rules})
+	documents := map[string][]byte{"register": f.Register, "rules": rules}
+	maps.Copy(documents, f.Documents)
+	return f.Platform.Publish(documents)
 }
 
 func (f *Fleet) startBackends() error {
--- /dev/null
+++ b/standin/fleet/target.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+)
+
+// The size that the fleet must have in about two years.
+const (
+	TargetVMs           = 3300
+	TargetInstances     = 53_000
+	TargetServices      = 3300
+	TargetRoutes        = 97_000
+	TargetOrganisations = 230_000
+)
+
+// targetDocument is a little below the platform's limit of 1 MB.
+const targetDocument = 1_000_000
+
+// targetParts collects the documents of the target size.
+type targetParts map[string][]byte
+
+// add cuts an array of n elements into documents.
+func (t targetParts) add(key string, n int, element func(int) string) {
+	var b strings.Builder
+	flush := func() {
+		t[fmt.Sprintf("register-%s-%02d", key, len(t))] = fmt.Appendf(nil, "{%q: [\n%s]}\n", key, b.String())
+		b.Reset()
+	}
+	for i := range n {
+		e := element(i)
+		if b.Len()+len(e) > targetDocument {
+			flush()
+		}
+		b.WriteString(e + ",\n")
+	}
+	flush()
+}
+
+// Target renders a register of the target size in documents of at most 1 MB.
+// The VMs have the addresses of nodes in turn, so that a small fleet can hold
+// the configuration of a large one.
+func Target(nodes []netip.AddrPort) map[string][]byte {
+	t := make(targetParts)
+	t.add("services", TargetServices, func(i int) string {
+		var routes []string
+		// Each service has its derived route as well.
+		for r := i; r < TargetRoutes-TargetServices; r += TargetServices {
+			routes = append(routes, fmt.Sprintf("\"/api/v1/area-%d/part-%d\"", i, r))
+		}
+		return fmt.Sprintf(`{"name": "service-%d", "slots": 3, "connections": 400, "routes": [%s]}`, i, strings.Join(routes, ", "))
+	})
+	t.add("organisations", TargetOrganisations, func(i int) string {
+		return fmt.Sprintf(`{"name": "organisation-%d"}`, i)
+	})
+	t.add("vms", TargetVMs, func(i int) string {
+		var instances []string
+		for n := i; n < TargetInstances; n += TargetVMs {
+			// Services lie on several VMs and VMs hold several services.
+			instances = append(instances, fmt.Sprintf(`{"name": "instance-%d", "service": "service-%d", "address": "127.9.%d.%d:%d"}`,
+				n, (n*7)%TargetServices, i/250, i%250, 8000+n/TargetVMs))
+		}
+		return fmt.Sprintf(`{"name": "vm-%d", "region": "region-%d", "dataCentre": "dc-%d", "node": "%v", "instances": [%s]}`,
+			i, i%6, i%12, nodes[i%len(nodes)], strings.Join(instances, ", "))
+	})
+	return t
+}
+
+// TargetRules renders rules for all services of the target size; change sets
+// the floor of one.
+func TargetRules(change int) []byte {
+	var b strings.Builder
+	b.WriteString("{\"idempotent\": [\n")
+	for i := range TargetServices {
+		fmt.Fprintf(&b, "{\"service\": \"service-%d\", \"methods\": [\"PUT\"]},\n", i)
+	}
+	b.WriteString("], \"floors\": [\n")
+	for i := range TargetServices {
+		healthy := 8
+		if i == TargetServices/2 {
+			healthy = 5 + change%3
+		}
+		fmt.Fprintf(&b, "{\"service\": \"service-%d\", \"healthy\": %d},\n", i, healthy)
+	}
+	b.WriteString("]}\n")
+	return []byte(b.String())
+}
