--- a/lib/service/admin/admin.go
+++ b/lib/service/admin/admin.go
@@ -49,6 +49,13 @@
 	server  *http.Server
 }
 
+// State is the state of one node in detail.
+type State struct {
+	VM string `json:"vm"`
+	configservice.State
+	Instances []InstanceState `json:"instances"`
+}
+
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
@@ -116,9 +123,7 @@
 	}
 	n := NodeState{VM: s.VM}
 	n.fill(reply)
-	st := s.config.State()
-	n.Configuration = &st
-	s.writeJSON(w, n)
+	s.writeJSON(w, State{VM: s.VM, State: s.config.State(), Instances: n.Instances})
 }
 
 func (s *Service) fleet(w http.ResponseWriter, r *http.Request) {
--- a/lib/service/admin/state.go
+++ b/lib/service/admin/state.go
@@ -31,8 +31,6 @@
 	Serving    bool            `json:"serving"`
 	Refused    string          `json:"refused,omitempty"`
 	Instances  []InstanceState `json:"instances,omitempty"`
-	// Configuration tells more about revisions; only the node itself states it.
-	Configuration *configservice.State `json:"configuration,omitempty"`
 	// Error tells why the node did not answer.
 	Error string `json:"error,omitempty"`
 }
--- a/lib/service/reader/reader.go
+++ b/lib/service/reader/reader.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/decision/reader"
 	"cassiarack.example/lib/decision/revision"
 	"cassiarack.example/lib/kernel"
@@ -44,7 +45,7 @@
 // it; without one, every VM of the configuration counts as alive.
 type Membership interface {
 	// Members returns the VMs that are known.
-	Members() []reader.Member
+	Members() []member.Member
 }
 
 // Service reads the platform.
@@ -98,14 +99,14 @@
 }
 
 // Members implements Membership.
-func (e everyVM) Members() []reader.Member {
+func (e everyVM) Members() []member.Member {
 	c := e.config.Known()
 	if c == nil {
 		return nil
 	}
-	out := make([]reader.Member, 0, len(c.VMs))
+	out := make([]member.Member, 0, len(c.VMs))
 	for _, v := range c.VMs {
-		out = append(out, reader.Member{Name: v.Name, DataCentre: v.DataCentre, Alive: true})
+		out = append(out, member.Member{Name: v.Name, Region: v.Region, DataCentre: v.DataCentre, State: member.Alive})
 	}
 	return out
 }
@@ -163,7 +164,14 @@
 
 // role computes whether the node reads.
 func (s *Service) role(now time.Time) bool {
-	is := reader.IsReader(now, s.VM, s.DataCentre, s.members.Members())
+	known := s.members.Members()
+	members := make([]reader.Member, 0, len(known))
+	for _, m := range known {
+		// A suspect member does not count, so that another node reads before the
+		// member is declared dead.
+		members = append(members, reader.Member{Name: m.Name, DataCentre: m.DataCentre, Alive: m.State == member.Alive})
+	}
+	is := reader.IsReader(now, s.VM, s.DataCentre, members)
 	if s.reading.Swap(is) != is {
 		s.Log.Info("Role changed.", "reader", is)
 	}
--- a/standin/proof/configuration_test.go
+++ b/standin/proof/configuration_test.go
@@ -16,7 +16,6 @@
 	"cassiarack.example/lib/decision/reader"
 	"cassiarack.example/lib/decision/revision"
 	"cassiarack.example/lib/service/admin"
-	configservice "cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/standin/fleet"
 )
@@ -32,8 +31,8 @@
 	return fmt.Appendf(nil, "// change %d\n{}\n", n)
 }
 
-func state(ctx context.Context, v *fleet.VM) (configservice.State, error) {
-	var st configservice.State
+func state(ctx context.Context, v *fleet.VM) (admin.State, error) {
+	var st admin.State
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Admin.String()+"/state", nil)
 	if err != nil {
 		return st, err
@@ -43,14 +42,13 @@
 		return st, err
 	}
 	defer res.Body.Close()
-	n := admin.NodeState{Configuration: &st}
-	err = json.NewDecoder(res.Body).Decode(&n)
+	err = json.NewDecoder(res.Body).Decode(&st)
 	return st, err
 }
 
 // await waits until the state of each VM with a process satisfies ok, and
 // returns how long each took.
-func await(t *testing.T, vms []*fleet.VM, ok func(configservice.State) bool) []time.Duration {
+func await(t *testing.T, vms []*fleet.VM, ok func(admin.State) bool) []time.Duration {
 	t.Helper()
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(t.Context(), spreadBound)
@@ -78,7 +76,7 @@
 // awaitRevision waits until a revision is in force and served everywhere.
 func awaitRevision(t *testing.T, f *fleet.Fleet, number uint64) time.Duration {
 	t.Helper()
-	took := await(t, f.VMs, func(s configservice.State) bool { return s.Serving && s.Revision >= number })
+	took := await(t, f.VMs, func(s admin.State) bool { return s.Serving && s.Revision >= number })
 	return took[len(took)-1]
 }
 
@@ -154,7 +152,7 @@
 		is.NoErr(v.KillNode())
 		is.NoErr(f.StartNode(v))
 		began := time.Now()
-		await(t, []*fleet.VM{v}, func(s configservice.State) bool {
+		await(t, []*fleet.VM{v}, func(s admin.State) bool {
 			if s.Revision != 0 && s.Revision < newest || s.Serving && s.Revision < newest {
 				t.Fatalf("%s: %s shows %+v, the fleet has %d", c.name, v.Name, s, newest)
 			}
@@ -163,7 +161,7 @@
 		t.Logf("%s: serves revision %d %v after its start", c.name, newest, time.Since(began))
 		awaitRevision(t, f, newest)
 	}
-	await(t, readers(f)[:1], func(s configservice.State) bool {
+	await(t, readers(f)[:1], func(s admin.State) bool {
 		for _, r := range s.Rejections {
 			if r.Verdict == revision.Older && r.Revision == 1 {
 				return true
@@ -187,7 +185,7 @@
 		{"{", "rules:1"},
 	} {
 		bad := f.Publish([]byte(c.rules))
-		await(t, readers(f)[:1], func(s configservice.State) bool {
+		await(t, readers(f)[:1], func(s admin.State) bool {
 			for _, r := range s.Rejections {
 				if r.Revision == bad && r.Verdict == revision.Invalid && strings.Contains(r.Reason, c.reason) {
 					t.Logf("rejected: %s", r.Reason)
@@ -196,7 +194,7 @@
 			}
 			return false
 		})
-		await(t, f.VMs, func(s configservice.State) bool {
+		await(t, f.VMs, func(s admin.State) bool {
 			if s.Revision != good {
 				t.Fatalf("revision %d in force, want %d", s.Revision, good)
 			}
@@ -215,12 +213,12 @@
 	is.NoErr(v.Process.Process.Signal(syscall.SIGSTOP))
 	stopped := time.Now()
 	number := f.Publish(rulesOf(1))
-	await(t, f.VMs[:len(f.VMs)-1], func(s configservice.State) bool { return s.Revision == number })
+	await(t, f.VMs[:len(f.VMs)-1], func(s admin.State) bool { return s.Revision == number })
 	const pause = 5 * time.Second
 	time.Sleep(pause - time.Since(stopped))
 	is.NoErr(v.Process.Process.Signal(syscall.SIGCONT))
 	woke := time.Now()
-	await(t, []*fleet.VM{v}, func(s configservice.State) bool {
+	await(t, []*fleet.VM{v}, func(s admin.State) bool {
 		if s.Serving && s.Revision < number {
 			t.Fatalf("serves %d after the pause, the fleet has %d", s.Revision, number)
 		}
@@ -240,7 +238,7 @@
 	v := f.VMs[0]
 	is.NoErr(v.KillNode())
 	is.NoErr(f.StartNode(v))
-	await(t, []*fleet.VM{v}, func(s configservice.State) bool {
+	await(t, []*fleet.VM{v}, func(s admin.State) bool {
 		is.True(!s.Serving)
 		is.Equal(s.Revision, uint64(0))
 		return s.Held == 1
