Close gaps in the start and the transfer of configurations

Cause: a node alone in its data centre counted itself as the majority and served what a stale platform showed; a node waited for a revision whose sources were gone while a lower one was offered; a giver whose answers are lost kept the receiver for 30 s; with a third of a data centre dead, 8 goroutines heard too few answers for a start of the whole fleet.

Change: in a data centre of fewer than 3 VMs all VMs count; a node that is not in the register waits for a serving peer; a wanted revision without sources is given up; a transfer ends when no part comes for 1 s; 32 goroutines ask.

--- a/lib/decision/revision/doc.go
+++ b/lib/decision/revision/doc.go
@@ -8,6 +8,6 @@
 //
 // A node may serve after a serving peer answered, to a question asked since
 // the start or the last pause, that it has the same revision. When the whole
-// fleet starts, it may serve after more than half of the VMs of its data
-// centre answered that they do not serve either.
+// fleet starts, it may serve after more than half of its neighbours, the VMs of its
+// data centre, answered that they do not serve either.
 package revision
--- a/lib/decision/revision/keeper.go
+++ b/lib/decision/revision/keeper.go
@@ -14,7 +14,7 @@
 	PauseLimit = 2 * time.Second
 	// answerLife is how long the answer of a peer counts. A peer that answered
 	// earlier may serve, or serve a newer revision, by now.
-	answerLife = 5 * time.Second
+	answerLife = 10 * time.Second
 	// maxRejected bounds the invalid revisions that are remembered.
 	maxRejected = 64
 )
@@ -80,6 +80,31 @@
 	confirmAfterPause
 )
 
+// minNeighbours is the smallest data centre whose VMs decide alone. In a smaller
+// one, a single other VM, or none, would let a restarted node trust a stale
+// platform.
+const minNeighbours = 3
+
+// Neighbours returns the VMs by whose answers a node tells that the whole fleet
+// starts: those of its data centre, or all if there are fewer than three. A
+// node that is not in the configuration has none.
+func Neighbours(c *config.Configuration, self string) []string {
+	if c == nil || c.VMs[self] == nil {
+		return nil
+	}
+	var near, all []string
+	for _, v := range c.VMs {
+		all = append(all, v.Name)
+		if v.DataCentre == c.VMs[self].DataCentre {
+			near = append(near, v.Name)
+		}
+	}
+	if len(near) < minNeighbours {
+		return all
+	}
+	return near
+}
+
 // Keeper decides for one node. It is used by one goroutine.
 type Keeper struct {
 	// Self is the name of the node's VM.
@@ -95,7 +120,7 @@
 	since time.Time
 	// highest is the highest number that a serving peer reported.
 	highest uint64
-	// neighbours are the VMs of the data centre, by the held configuration.
+	// neighbours are those of the held configuration.
 	neighbours map[string]bool
 	idle       map[string]time.Time
 	rejected   map[config.Revision]string
@@ -141,8 +166,8 @@
 }
 
 // Offer proposes a revision whose content was read and checked; fault is the
-// result of the check. The neighbours are the VMs of the node's data centre in
-// that content.
+// result of the check. The neighbours are the VMs by whose answers the node
+// tells that the whole fleet starts, see Neighbours.
 func (k *Keeper) Offer(_ time.Time, rev config.Revision, from Source, neighbours []string, fault error) Verdict {
 	v := k.Judge(rev, from)
 	if v.Judgement != Accepted {
@@ -222,8 +247,8 @@
 	return k.confirmed
 }
 
-// fleetStarts reports whether more than half of the VMs of the data centre,
-// this one among them, answered lately that they do not serve. A node that
+// fleetStarts reports whether more than half of the neighbours, this node among
+// them, answered lately that they do not serve. A node that
 // heard of a higher revision in service waits for that revision.
 func (k *Keeper) fleetStarts(now time.Time) bool {
 	if k.held.Number < k.highest {
@@ -232,11 +257,17 @@
 	if k.off == majorityOfDataCentre {
 		return true
 	}
-	return 2*k.idleNeighbours(now) > max(1, len(k.neighbours))
+	return 2*k.idleNeighbours(now) > len(k.neighbours)
 }
 
+// Neighbour reports whether the answer of a VM counts when the fleet starts.
+func (k *Keeper) Neighbour(vm string) bool { return k.neighbours[vm] }
+
 func (k *Keeper) idleNeighbours(now time.Time) int {
-	n := 1
+	n := 0
+	if k.neighbours[k.Self] {
+		n = 1
+	}
 	for name, asked := range k.idle {
 		if name != k.Self && k.neighbours[name] && now.Sub(asked) <= answerLife {
 			n++
@@ -255,8 +286,8 @@
 	case k.held.Number < k.highest:
 		return fmt.Sprintf("revision %d is held, a serving peer has %d", k.held.Number, k.highest)
 	default:
-		return fmt.Sprintf("no serving peer confirmed revision %d; %d of %d VMs of the data centre do not serve either",
-			k.held.Number, k.idleNeighbours(now), max(1, len(k.neighbours)))
+		return fmt.Sprintf("no serving peer confirmed revision %d; %d of %d neighbours do not serve either",
+			k.held.Number, k.idleNeighbours(now), len(k.neighbours))
 	}
 }
 
--- a/lib/decision/revision/keeper_test.go
+++ b/lib/decision/revision/keeper_test.go
@@ -58,6 +58,24 @@
 	golden.Check(t, "judgements", b.String())
 }
 
+// TestNeighbours guards against a node that serves a stale revision because its
+// data centre has no other VM, or because it is not in the register.
+func TestNeighbours(t *testing.T) {
+	var b strings.Builder
+	c := &config.Configuration{VMs: make(map[string]*config.VM)}
+	for _, v := range []struct{ name, dataCentre string }{
+		{"a", "one"}, {"b", "two"}, {"c", "two"}, {"d", "three"}, {"e", "three"}, {"f", "three"},
+	} {
+		c.VMs[v.name] = &config.VM{Name: v.name, DataCentre: v.dataCentre}
+	}
+	for _, self := range []string{"a", "b", "d", "x"} {
+		k := &Keeper{Self: self, Started: epoch}
+		k.Offer(epoch, rev(1, 1), Source{Name: "platform"}, Neighbours(c, self), nil)
+		fmt.Fprintf(&b, "%s: serves at once %v, %s\n", self, k.MayServe(epoch), k.Waiting(epoch))
+	}
+	golden.Check(t, "neighbours", b.String())
+}
+
 // TestRejectedBound guards against memory that grows with each invalid
 // revision.
 func TestRejectedBound(t *testing.T) {
--- a/lib/service/config/config.go
+++ b/lib/service/config/config.go
@@ -34,9 +34,8 @@
 
 // Service owns the configuration in force.
 type Service struct {
-	// VM and DataCentre are the node's own.
-	VM         string
-	DataCentre string
+	// VM is the name of the node's VM.
+	VM string
 	// Asked are nodes that are asked while the node does not serve.
 	Asked []netip.AddrPort
 	// Random is the random source of the duty.
@@ -114,9 +113,11 @@
 // Serving reports whether the node may serve. A node that just woke from a
 // pause does not, even before the duty noticed the pause.
 func (s *Service) Serving() bool {
-	return s.snapshot.Load().serving && !s.paused(time.Now())
+	return s.serves(s.snapshot.Load())
 }
 
+func (s *Service) serves(sn *snapshot) bool { return sn.serving && !s.paused(time.Now()) }
+
 func (s *Service) paused(now time.Time) bool {
 	last := s.alive.Load()
 	return last == nil || gap(*last, now) > revision.PauseLimit
@@ -171,15 +172,15 @@
 // State returns what operators see.
 func (s *Service) State() State {
 	sn := s.snapshot.Load()
-	st := State{Serving: s.Serving(), Waiting: sn.waiting, Rejections: sn.rejections}
+	st := State{Serving: s.serves(sn), Waiting: sn.waiting, Rejections: sn.rejections}
 	if sn.serving && !st.Serving {
 		st.Waiting = "the process was paused"
 	}
 	if sn.content != nil {
 		st.Held = sn.content.Revision.Number
 	}
-	if c := s.Current(); c != nil {
-		st.Revision = c.Revision.Number
+	if sn.inForce {
+		st.Revision = sn.conf.Revision.Number
 	}
 	if sn.list != nil {
 		st.List = sn.list.Number
--- a/lib/service/config/duty.go
+++ b/lib/service/config/duty.go
@@ -178,7 +178,8 @@
 // want remembers where a revision can be fetched and starts to fetch it.
 func (s *Service) want(rev config.Revision, from source) {
 	d := &s.duty
-	if !from.node.IsValid() || rev.Number < d.wanted.Number {
+	busy := d.pulling || len(d.sources) > 0
+	if !from.node.IsValid() || busy && rev.Number < d.wanted.Number {
 		return
 	}
 	if rev != d.wanted {
@@ -293,7 +294,8 @@
 	d := &s.duty
 	d.compiling = nil
 	s.scope.Timer("compile").Record(c.took)
-	v := d.keeper.Offer(now, c.job.content.Revision, c.job.from.source, s.neighbours(c.conf), c.err)
+	v := d.keeper.Offer(now, c.job.content.Revision, c.job.from.source,
+		revision.Neighbours(c.conf, s.VM), c.err)
 	if v.Judgement == revision.Accepted {
 		d.earlier = d.earlier.add(d.content, c.job.content)
 		d.content, d.conf = c.job.content, c.conf
@@ -311,20 +313,6 @@
 	}
 }
 
-// neighbours returns the VMs of the node's data centre.
-func (s *Service) neighbours(c *config.Configuration) []string {
-	if c == nil {
-		return nil
-	}
-	var out []string
-	for _, v := range c.VMs {
-		if v.DataCentre == s.DataCentre {
-			out = append(out, v.Name)
-		}
-	}
-	return out
-}
-
 // record makes a rejection visible. What a peer holds is only recorded if it is
 // invalid or a fork, as nodes that are behind are usual.
 func (s *Service) record(now time.Time, rev config.Revision, from string, v revision.Verdict) {
--- /dev/null
+++ b/lib/service/config/duty_test.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/revision"
+	"cassiarack.example/lib/golden"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/service/peers"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newDuty returns a service whose duty is driven by the test.
+func newDuty() *Service {
+	s := &Service{VM: "self", Random: rand.New(rand.NewPCG(1, 2)), Log: log.New(io.Discard),
+		commands: ring.New[command](commandRing), jobs: ring.New[job](1), pulls: ring.New[pull](1),
+		asks: ring.New[ask](askRing), adopted: ring.New[config.Revision](adoptedRing), scope: tally.NoopScope}
+	s.duty.keeper = revision.Keeper{Self: s.VM, Started: epoch}
+	s.duty.seen = epoch
+	s.snapshot.Store(&snapshot{})
+	return s
+}
+
+func revisionOf(number uint64) config.Revision {
+	return config.Revision{Number: number, Digest: [32]byte{byte(number)}}
+}
+
+// TestSources guards against a node that waits for a revision whose sources are
+// gone, and against more than one transfer at once.
+func TestSources(t *testing.T) {
+	var b strings.Builder
+	s := newDuty()
+	node := netip.MustParseAddrPort("127.0.0.1:1")
+	do := func(what string, c command) {
+		s.handle(epoch, c)
+		p, err := s.pulls.Take(ended)
+		if err != nil {
+			fmt.Fprintf(&b, "%s: no transfer\n", what)
+			return
+		}
+		fmt.Fprintf(&b, "%s: revision %d from %s\n", what, p.rev.Number, p.from.vm)
+	}
+	hear := func(vm string, number uint64) heard {
+		return heard{vm: vm, node: node, rev: revisionOf(number), serving: true}
+	}
+	lost := pulled{err: errors.New("lost")}
+	do("9 heard from a", hear("a", 9))
+	do("9 heard from b", hear("b", 9))
+	do("9 heard from b again", hear("b", 9))
+	do("8 heard from c", hear("c", 8))
+	do("transfer from a lost", lost)
+	do("transfer from b lost", lost)
+	do("8 heard from c again", hear("c", 8))
+	do("9 heard from a", hear("a", 9))
+	do("transfer from c lost", lost)
+	do("no address", heard{vm: "d", rev: revisionOf(10)})
+	golden.Check(t, "sources", b.String())
+}
+
+// TestPause guards against a node that serves between its wake from a pause and
+// the moment in which its duty notices it.
+func TestPause(t *testing.T) {
+	is := is.New(t)
+	s := newDuty()
+	s.duty.keeper.Started = time.Now()
+	s.duty.seen = time.Now()
+	c := contentOf(t, 1, map[string]string{"rules": "{}"})
+	s.handle(time.Now(), compiled{job: job{content: c}, conf: &config.Configuration{Revision: c.Revision}})
+	s.handle(time.Now(), answered{answer: revision.Answer{Peer: "a", Asked: time.Now(), Revision: c.Revision, Serving: true}})
+	is.True(s.Serving())
+	is.Equal(s.Current().Revision, c.Revision)
+	past := time.Now().Add(-revision.PauseLimit - time.Second)
+	s.alive.Store(&past)
+	is.True(!s.Serving())
+	is.Equal(s.State().Waiting, "the process was paused")
+	s.duty.seen = past
+	s.tick(time.Now())
+	is.True(!s.Serving())
+	is.Equal(s.Current().Revision, c.Revision)
+}
+
+// TestSilentGiver guards against a transfer that keeps the receiver for the
+// whole bound of a transfer when the answers of a node are lost.
+func TestSilentGiver(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer lis.Close()
+	s := newDuty()
+	s.peers = &peers.Service{Log: s.Log}
+	is.NoErr(s.peers.Bind(nil))
+	r := &receiver{s: s, stash: make(map[string]config.Document)}
+	ctx, cancel := context.WithTimeout(t.Context(), fetchTimeout/2)
+	defer cancel()
+	_, err = r.fetch(ctx, pull{rev: revisionOf(1), from: source{node: lis.Addr().(*net.TCPAddr).AddrPort()}})
+	is.True(err != nil)
+	is.NoErr(ctx.Err())
+}
--- a/lib/service/config/exchange.go
+++ b/lib/service/config/exchange.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	// askers is the number of goroutines that ask other nodes, so that nodes
-	// which do not answer delay only some of the questions.
-	askers = 8
+	// askers is the number of goroutines that ask other nodes. With 32, a node
+	// hears half of a data centre of 275 VMs while the answers count, even if a
+	// third of them is dead and each question to those takes askTimeout.
+	askers = 32
 	// askRing bounds the questions that wait. A question that finds the ring
 	// full is asked again in a later round.
-	askRing = 64
+	askRing = 128
 	// askTimeout bounds a question and its answer.
 	askTimeout = time.Second
 )
@@ -33,12 +34,12 @@
 	node netip.AddrPort
 }
 
-// ask asks nodes of the settings and of the data centre.
+// ask asks nodes of the settings and neighbours.
 func (s *Service) ask() {
 	for _, i := range s.Random.Perm(len(s.Asked))[:min(askedPeers, len(s.Asked))] {
 		s.question(s.Asked[i])
 	}
-	s.tellSome(askedNeighbours, func(v *config.VM) bool { return v.DataCentre == s.DataCentre })
+	s.tellSome(askedNeighbours, func(v *config.VM) bool { return s.duty.keeper.Neighbour(v.Name) })
 	s.tell(1)
 }
 
@@ -94,8 +95,8 @@
 	asked := time.Now()
 	client := wire.NewDRPCFleetClient(s.peers.Conn(ctx, node))
 	sn := s.snapshot.Load()
-	r, err := client.Confirm(ctx, &wire.ConfirmRequest{Name: s.VM, Revision: toRevision(sn.held()), Serving: s.Serving(),
-		List: sn.listNumber()})
+	r, err := client.Confirm(ctx, &wire.ConfirmRequest{Name: s.VM, Revision: toRevision(sn.held()),
+		Serving: s.serves(sn), List: sn.listNumber()})
 	if err != nil {
 		return err
 	}
--- a/lib/service/config/giver.go
+++ b/lib/service/config/giver.go
@@ -17,8 +17,9 @@
 	// maxTransfers is the number of transfers to other nodes at once.
 	maxTransfers = 2
 	// transferWait is how long a node waits for its transfer to begin. A
-	// transfer of deltas takes a few milliseconds.
-	transferWait = 2 * time.Second
+	// transfer of deltas takes a few milliseconds. It is shorter than
+	// stallTimeout, so that a busy giver says so in time.
+	transferWait = 500 * time.Millisecond
 	// chunkSize is the size of a piece of a document, in bytes.
 	chunkSize = 64 << 10
 )
@@ -40,7 +41,7 @@
 			g.s.question(v.Node)
 		}
 	}
-	return &wire.ConfirmReply{Name: g.s.VM, Revision: toRevision(sn.held()), Serving: g.s.Serving(),
+	return &wire.ConfirmReply{Name: g.s.VM, Revision: toRevision(sn.held()), Serving: g.s.serves(sn),
 		List: sn.listNumber()}, nil
 }
 
--- a/lib/service/config/receiver.go
+++ b/lib/service/config/receiver.go
@@ -18,6 +18,9 @@
 	// fetchTimeout bounds a transfer. What was received is kept, so that the
 	// next transfer goes on from there.
 	fetchTimeout = 30 * time.Second
+	// stallTimeout bounds the wait for the next part. A node whose answers are
+	// lost must not keep the receiver from fetching elsewhere within the 4 s.
+	stallTimeout = time.Second
 	// maxDocuments bounds the documents of a manifest of another node.
 	maxDocuments = 1024
 	// maxStash bounds the documents kept from transfers that failed, in bytes.
@@ -62,6 +65,8 @@
 func (r *receiver) fetch(ctx context.Context, p pull) (*Content, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	stall := time.AfterFunc(stallTimeout, cancel)
+	defer stall.Stop()
 	stream, err := wire.NewDRPCFleetClient(r.s.peers.Conn(ctx, p.from.node)).Fetch(ctx, r.request(p))
 	if err != nil {
 		return nil, fmt.Errorf("fetch revision %d: %w", p.rev.Number, err)
@@ -80,6 +85,7 @@
 		return nil, err
 	}
 	for {
+		stall.Reset(stallTimeout)
 		part, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
 			break
--- a/node/serve.go
+++ b/node/serve.go
@@ -98,7 +98,7 @@
 		{
 			Name:  service.Config,
 			Needs: []string{service.Peers, service.Metrics},
-			Service: &config.Service{VM: s.Name, DataCentre: s.DataCentre, Asked: s.Peers, Random: n.random(),
+			Service: &config.Service{VM: s.Name, Asked: s.Peers, Random: n.random(),
 				Log: n.log("config")},
 		},
 		{
--- a/standin/proof/configuration_test.go
+++ b/standin/proof/configuration_test.go
@@ -15,6 +15,7 @@
 
 	"cassiarack.example/lib/decision/reader"
 	"cassiarack.example/lib/decision/revision"
+	"cassiarack.example/lib/platform"
 	"cassiarack.example/lib/service/admin"
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/standin/fleet"
@@ -173,6 +174,19 @@
 	awaitRevision(t, f, f.Publish(rulesOf(3)))
 }
 
+// TestListOfVMs guards against a list of VMs that stays with the readers.
+func TestListOfVMs(t *testing.T) {
+	f := start(t, spread, "")
+	var vms []platform.VM
+	for _, v := range f.VMs {
+		vms = append(vms, platform.VM{Name: v.Name, State: platform.StateLive})
+	}
+	f.Platform.SetVMs(vms)
+	vms[0].State = platform.StateLeaving
+	f.Platform.SetVMs(vms[:len(vms)-1])
+	await(t, f.VMs, func(s admin.State) bool { return s.List == 2 })
+}
+
 // TestInvalidDocuments guards against an invalid revision in force, and against
 // a rejection without a place and reason.
 func TestInvalidDocuments(t *testing.T) {
