--- a/lib/service/gate/gate_test.go
+++ b/lib/service/gate/gate_test.go
@@ -55,7 +55,7 @@
 	c := content(t, fmt.Sprintf(`{"services": [{"name": "s", "slots": 1}], "vms": [{"name": "v", "region": "r",
 		"dataCentre": "d", "node": %q, "instances": [{"name": "i", "service": "s", "address": %q}]}]}`,
 		b.addr, backend.Listener.Addr()))
-	b.conf = &configservice.Service{VM: "v", DataCentre: "d", Log: quiet, Random: mathrand.New(mathrand.NewPCG(1, 1))}
+	b.conf = &configservice.Service{VM: "v", Log: quiet, Random: mathrand.New(mathrand.NewPCG(1, 1))}
 	b.gate = &Service{VM: "v", Incarnation: 7, Log: quiet}
 	up := &starter{conf: b.conf, c: c, ready: make(chan struct{})}
 	k := &kernel.Kernel{Log: quiet, DrainTimeout: time.Minute, Registrations: []kernel.Registration{
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -33,6 +33,8 @@
 	Folder string
 	// Rules is the first rules document.
 	Rules []byte
+	// Documents are further documents of each revision.
+	Documents map[string][]byte
 
 	// Advertise returns the address under which other nodes reach the node of a
 	// VM, such as that of a proxy before it; nil means the node's own. It is
@@ -95,7 +97,9 @@
 	if len(rules) == 0 {
 		rules = []byte("{}")
 	}
-	return f.Platform.Publish(map[string][]byte{"register": f.Register, "rules": rules})
+	documents := map[string][]byte{"register": f.Register, "rules": rules}
+	maps.Copy(documents, f.Documents)
+	return f.Platform.Publish(documents)
 }
 
 func (f *Fleet) startBackends() error {
--- a/standin/proof/main_test.go
+++ b/standin/proof/main_test.go
@@ -55,11 +55,22 @@
 	return f
 }
 
+// startNodes runs a fleet of another node program.
+func startNodes(t *testing.T, program string, d fleet.Deployment) *fleet.Fleet {
+	t.Helper()
+	f := &fleet.Fleet{Node: program}
+	startFleet(t, f, d, "")
+	return f
+}
+
 // startFleet runs f, of which further fields may be set, for the time of the
 // test.
 func startFleet(t *testing.T, f *fleet.Fleet, d fleet.Deployment, rules string) {
 	t.Helper()
-	f.Deployment, f.Node, f.Folder, f.Rules = d, nodeProgram, t.TempDir(), []byte(rules)
+	f.Deployment, f.Folder, f.Rules = d, t.TempDir(), []byte(rules)
+	if f.Node == "" {
+		f.Node = nodeProgram
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
 	defer cancel()
 	t.Cleanup(func() {
