--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -32,6 +33,8 @@
 	reserve *wire.Reserve
 	attempt handover.Attempt
 	ups     *ring.Ring[*wire.Up]
+	// down is set when the backend server's port was closed.
+	down bool
 }
 
 // Exchange implements the drpc call.
@@ -225,7 +228,7 @@
 	if last.GetEnd() == nil {
 		time.Sleep(cancelHold)
 	}
-	release(runOf(last, took))
+	release(run{took: took, whole: last.GetEnd() != nil, down: x.down})
 	if load != nil {
 		load.ServiceTime = int64(time.Since(started))
 	}
@@ -287,6 +290,7 @@
 
 // lost tells why a call has no answer.
 func (x *exchange) lost(err error, notRun bool) *wire.Down {
+	x.down = errors.Is(err, syscall.ECONNREFUSED)
 	reason := request.ReasonBackendLost
 	switch {
 	case errors.Is(err, errCutBody):
