--- a/lib/service/admin/state.go
+++ b/lib/service/admin/state.go
@@ -9,6 +9,7 @@
 
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/ring"
+	configservice "cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/wire"
 )
 
@@ -76,11 +77,7 @@
 	ctx, cancel := context.WithTimeout(ctx, localTimeout)
 	defer cancel()
 	st := s.config.State()
-	out := &wire.ReportReply{Vm: s.VM, Revision: st.Revision, Serving: st.Serving}
-	if n := len(st.Rejections); n > 0 {
-		r := st.Rejections[n-1]
-		out.Refused = fmt.Sprintf("revision %d from %s: %s", r.Revision, r.Source, r.Reason)
-	}
+	out := &wire.ReportReply{Vm: s.VM, Revision: st.Revision, Serving: st.Serving, Refused: refused(st)}
 	occupancy, err := s.gate.Occupancy(ctx)
 	if err != nil {
 		return nil, err
@@ -94,6 +91,17 @@
 	return out, nil
 }
 
+// refused tells why the last revision after the one in force was not put in
+// force.
+func refused(st configservice.State) string {
+	for _, r := range slices.Backward(st.Rejections) {
+		if r.Revision > st.Revision {
+			return fmt.Sprintf("revision %d from %s: %s: %s", r.Revision, r.Source, r.Verdict, r.Reason)
+		}
+	}
+	return ""
+}
+
 // Conditions of an instance.
 const (
 	conditionHealthy = "healthy"
--- a/lib/service/reader/reader.go
+++ b/lib/service/reader/reader.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/decision/reader"
 	"cassiarack.example/lib/decision/revision"
 	"cassiarack.example/lib/kernel"
@@ -41,10 +42,10 @@
 )
 
 // Membership tells which VMs are believed alive. The service gossip implements
-// it; without one, every VM of the configuration counts as alive.
+// it.
 type Membership interface {
 	// Members returns the VMs that are known.
-	Members() []reader.Member
+	Members() []member.Member
 }
 
 // Service reads the platform.
@@ -84,28 +85,18 @@
 		return err
 	}
 	s.members, err = kernel.Find[Membership](dir, service.Gossip)
-	var missing *kernel.Error
-	if errors.As(err, &missing) && missing.Kind == kernel.KindMissing {
-		s.members = everyVM{s.config}
-		return nil
-	}
 	return err
 }
 
-// everyVM believes every VM of the configuration alive.
-type everyVM struct {
-	config *configservice.Service
-}
-
-// Members implements Membership.
-func (e everyVM) Members() []reader.Member {
-	c := e.config.Known()
-	if c == nil {
-		return nil
-	}
-	out := make([]reader.Member, 0, len(c.VMs))
-	for _, v := range c.VMs {
-		out = append(out, reader.Member{Name: v.Name, DataCentre: v.DataCentre, Alive: true})
+// believed returns the VMs that may be readers. A node that leaves gives up the
+// role, so that another has it before the node is gone.
+func (s *Service) believed() []reader.Member {
+	ms := s.members.Members()
+	out := make([]reader.Member, 0, len(ms))
+	for _, m := range ms {
+		// A suspect member does not count, so that another node reads before the
+		// member is declared dead.
+		out = append(out, reader.Member{Name: m.Name, DataCentre: m.DataCentre, Alive: m.State == member.Alive})
 	}
 	return out
 }
@@ -163,7 +154,7 @@
 
 // role computes whether the node reads.
 func (s *Service) role(now time.Time) bool {
-	is := reader.IsReader(now, s.VM, s.DataCentre, s.members.Members())
+	is := reader.IsReader(now, s.VM, s.DataCentre, s.believed())
 	if s.reading.Swap(is) != is {
 		s.Log.Info("Role changed.", "reader", is)
 	}
