router: make the duty's state apart from Bind

Cause: Bind needs the membership service now, so that the tests of the router, which run its decisions without other services, failed with a nil directory.

Change: init makes the state; the tests set a fleet that is alive.

Figures: go test -race ./service/router passes; before, TestTerms panicked.

Conclusion: the tests of the router need no other service.

--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -111,11 +111,16 @@
 	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
 		return err
 	}
+	s.init()
+	return nil
+}
+
+// init makes the state of the duty.
+func (s *Service[P]) init() {
 	s.commands = ring.New[command](ringSize)
 	s.chooser = choice.Chooser[P]{Policy: s.Policy, Random: s.Random}
 	s.picture = make(map[string]*picture)
 	s.services = make(map[string]*serviceState)
-	return nil
 }
 
 // Choose implements Router.
--- a/lib/service/router/router_test.go
+++ b/lib/service/router/router_test.go
@@ -11,17 +11,22 @@
 
 	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/golden"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// alive is a fleet all of whose nodes are alive.
+type alive struct{}
+
+func (alive) State(string) member.State { return member.Alive }
+
 func newRouter(t *testing.T) (*Service[choice.TwoChoices], *config.Service) {
 	t.Helper()
 	s := &Service[choice.TwoChoices]{DataCentre: "north-1", Random: rand.New(rand.NewPCG(1, 1))}
-	if err := s.Bind(nil); err != nil {
-		t.Fatal(err)
-	}
+	s.members = alive{}
+	s.init()
 	svc := &config.Service{Name: "orders", Slots: 2}
 	for i, dc := range []string{"north-2", "north-1"} {
 		svc.Instances = append(svc.Instances, &config.Instance{Name: fmt.Sprint("orders-", i+1), Service: svc,
