Run tests of processes anew each time

Cause: go test caches the result of standin/proof although the node program, which it builds by itself, has changed. Change: -count=1 in test.sh. Conclusion: a stale pass is no longer possible.

--- a/test.sh
+++ b/test.sh
@@ -36,7 +36,7 @@
 known=$(sed -n "s/^test: //p" KNOWN-RED.txt 2>/dev/null | paste -sd"|" - || true)
 for m in "${modules[@]}"; do
   step "tests: $m"
-  (cd "$m" && go test -race -timeout 9m ${known:+-skip "^($known)\$"} ./...)
+  (cd "$m" && go test -race -count=1 -timeout 9m ${known:+-skip "^($known)\$"} ./...)
 done
 if [ -n "$known" ]; then
   for m in "${modules[@]}"; do
