--- a/lib/service/gate/gate.go
+++ b/lib/service/gate/gate.go
@@ -51,6 +51,8 @@
 	inFlight inFlight
 	life     context.Context
 	endLife  context.CancelFunc
+	// leaving is set while the node stops. It belongs to the duty.
+	leaving bool
 }
 
 // desk is the state of one instance, owned by the duty.
@@ -95,17 +97,17 @@
 		Interval: tick,
 		Handle:   func(now time.Time, c command) { s.beat(now); c.apply(now, s) },
 		Tick:     s.tick,
+		Idle:     s.idle,
 	}
 	return d.Run(ctx)
 }
 
-// Drain implements kernel.Drainer: new work is refused, work in flight ends.
-func (s *Service) Drain(ctx context.Context) error {
-	if err := s.commands.Put(ctx, leave{}); err != nil {
-		return err
-	}
-	return s.inFlight.wait(ctx)
-}
+// Leave implements kernel.Leaver: new work is refused. The kernel calls it after
+// gossip announced the stop, so that few entries still come.
+func (s *Service) Leave(ctx context.Context) error { return s.commands.Put(ctx, leave{}) }
+
+// Drain implements kernel.Drainer: work in flight ends.
+func (s *Service) Drain(ctx context.Context) error { return s.inFlight.wait(ctx) }
 
 // desk returns the state of an instance of this VM, or nil.
 func (s *Service) desk(name string) *desk {
@@ -124,7 +126,7 @@
 	}
 	d.instance = i
 	d.slots.Slots = i.Service.Slots
-	d.slots.Leaving = d.slots.Leaving || i.Leaving
+	d.slots.Leaving = s.leaving || i.Leaving
 	return d
 }
 
@@ -184,3 +186,14 @@
 		adm.call.Reply(admitted{instance: d.instance, grant: grant, err: err, load: d.load(now)})
 	}
 }
+
+// idle reports whether no request waits for a slot or for its commit, so that
+// nothing can expire.
+func (s *Service) idle() bool {
+	for _, d := range s.desks {
+		if len(d.waiting) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -9,6 +9,7 @@
 
 	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
@@ -72,6 +73,7 @@
 	// Random is the random source.
 	Random *rand.Rand
 
+	members  members
 	commands *ring.Ring[command]
 	chooser  choice.Chooser[P]
 	picture  map[string]*picture
@@ -98,8 +100,17 @@
 	Budgets
 }
 
+// members is the part of the gossip service that tells the state of a node.
+type members interface {
+	State(vm string) member.State
+}
+
 // Bind implements kernel.Service.
-func (s *Service[P]) Bind(*kernel.Directory) error {
+func (s *Service[P]) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
+		return err
+	}
 	s.commands = ring.New[command](ringSize)
 	s.chooser = choice.Chooser[P]{Policy: s.Policy, Random: s.Random}
 	s.picture = make(map[string]*picture)
@@ -159,6 +170,12 @@
 func (s *Service[P]) choose(now time.Time, q Query) chosen {
 	cs := &candidates[P]{s: s, now: now, of: s.service(q.Service), exclude: q.Exclude}
 	i, err := s.chooser.Choose(now, q.Service.Name, cs)
+	if err != nil {
+		// When no other instance is left, it is more likely that this node does not
+		// hear the others than that all of them are dead.
+		cs.dead = true
+		i, err = s.chooser.Choose(now, q.Service.Name, cs)
+	}
 	if err != nil {
 		return chosen{err: err}
 	}
