--- a/lib/service/gate/pause.go
+++ b/lib/service/gate/pause.go
@@ -20,10 +20,11 @@
 }
 
 // Paused voids all grants that were not committed and all waiting attempts. A
-// detector of pauses calls it with the time at which the process went on.
+// detector of pauses calls it with the time at which the process went on. It does
+// not block; the duty notices a gap in its own calls in any case.
 func (s *Service) Paused(now time.Time) {
-	if err := s.commands.Put(s.life, paused{}); err != nil {
-		s.Log.Debug("Pause not recorded.", "at", now, "err", err)
+	if err := s.commands.Offer(paused{}); err != nil {
+		s.Log.Warn("Pause not recorded.", "at", now, "err", err)
 	}
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -143,7 +143,7 @@
 		},
 		{
 			Name:    service.Pause,
-			Needs:   []string{service.Metrics, service.Config, service.Gate, service.Gossip},
+			Needs:   []string{service.Metrics, service.Config, service.Gate, service.Ledger, service.Gossip},
 			Service: &pause.Service{Log: n.log("pause")},
 		},
 		{
@@ -157,11 +157,8 @@
 			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Gossip},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
-		{
-			Name:    service.Ledger,
-			Needs:   []string{service.Config, service.Peers, service.Metrics},
-			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")},
-		},
+		{Name: service.Ledger, Needs: []string{service.Config, service.Peers, service.Metrics},
+			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")}},
 		{
 			Name:    service.Handoff,
 			Needs:   []string{service.Config, service.Peers, service.Router, service.Ledger, service.Metrics},
