--- a/lib/service/config/duty.go
+++ b/lib/service/config/duty.go
@@ -23,7 +23,7 @@
 	announced = 4
 	// secondAnnouncement is how long after the first one a node announces what it
 	// adopted again, and announcementJitter what is drawn in addition. One round
-	// to 4 nodes misses 2 in 100 nodes, two rounds miss 3 in 10,000.
+	// to 4 nodes is expected to miss 2 in 100 nodes, two rounds 3 in 10,000.
 	secondAnnouncement = 200 * time.Millisecond
 	announcementJitter = 200 * time.Millisecond
 	// repairInterval is how often a node exchanges revisions with a random VM,
