--- a/standin/proof/configuration_test.go
+++ b/standin/proof/configuration_test.go
@@ -107,7 +107,7 @@
 }
 
 // TestPublish guards against a change that does not reach every node, with all
-// readers and with some of them killed in the middle.
+// readers, with some of them killed in the middle, and with all of them killed.
 func TestPublish(t *testing.T) {
 	f := start(t, fleet.Latvia, "")
 	for n := range 5 {
@@ -130,6 +130,15 @@
 	}
 	awaitRevision(t, f, number)
 	t.Logf("after the loss of readers: in force after %v", awaitRevision(t, f, f.Publish(rulesOf(101))))
+	for _, r := range rs {
+		if r.Process == nil {
+			continue
+		}
+		if err := r.KillNode(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("after the loss of all readers: in force after %v", awaitRevision(t, f, f.Publish(rulesOf(102))))
 }
 
 // TestReplacedNode guards against a node that cannot start without the
