--- a/standin/proof/spread_test.go
+++ b/standin/proof/spread_test.go
@@ -38,7 +38,8 @@
 }
 
 // usageOf reads the usage of a process. Its bytes are those of all reads and
-// writes, without the headers of the network.
+// writes, without the headers of the network and without datagrams, which the
+// kernel does not count there.
 func usageOf(t *testing.T, pid int) usage {
 	t.Helper()
 	is := is.New(t)
