Authenticate nodes to each other with TLS

Cause: any process that reached the fleet address could reserve slots. Change: peers uses mutual TLS 1.3 when the settings name PEM files. A certificate must be of the authority and name a VM of the register in its DNS names; before there is a register the authority suffices. Handshakes are bounded in number and time, refusals are logged with their cause. New files are taken within seconds, new fleet keys on SIGHUP. The local fleet has an option for TLS with keys made in memory.

--- a/lib/service/config/config.go
+++ b/lib/service/config/config.go
@@ -64,6 +64,7 @@
 	if s.peers, err = kernel.Find[*peers.Service](dir, service.Peers); err != nil {
 		return err
 	}
+	s.peers.Admit(s.admits)
 	m, err := kernel.Find[*metrics.Service](dir, service.Metrics)
 	if err != nil {
 		return err
@@ -108,6 +109,13 @@
 // It tells which other nodes exist, and must not decide about requests.
 func (s *Service) Known() *config.Configuration { return s.snapshot.Load().conf }
 
+// admits reports whether the register has a VM. Without a register every VM may
+// connect, as the first configuration comes from other nodes.
+func (s *Service) admits(vm string) bool {
+	c := s.Known()
+	return c == nil || c.VMs[vm] != nil
+}
+
 // Content returns the documents that the node holds, or nil.
 func (s *Service) Content() *Content { return s.snapshot.Load().content }
 
--- a/lib/service/peers/peers.go
+++ b/lib/service/peers/peers.go
@@ -21,6 +21,8 @@
 	"storj.io/drpc/drpcwire"
 
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/credentials"
 )
 
 // Limits of connections between nodes.
@@ -46,18 +48,24 @@
 type Service struct {
 	// Listener accepts connections of other nodes.
 	Listener net.Listener
-	// Server and Client enable TLS between nodes; both or neither are set.
-	Server *tls.Config
-	Client *tls.Config
-	// Log receives connection errors.
+	// Log receives connection errors and refused peers.
 	Log *log.Logger
 
+	credentials *credentials.Service
+	// admits reports whether a VM may connect; it is nil before a service that
+	// holds the register set it.
+	admits func(vm string) bool
+
 	mux  *drpcmux.Mux
 	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
 
 // Bind implements kernel.Service.
-func (s *Service) Bind(*kernel.Directory) error {
+func (s *Service) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.credentials, err = kernel.Find[*credentials.Service](dir, service.Credentials); err != nil {
+		return err
+	}
 	s.mux = drpcmux.New()
 	s.pool = drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout, Capacity: poolCapacity, KeyCapacity: poolKeyCapacity,
@@ -82,8 +90,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial node %v: %w", addr, err)
 	}
-	if s.Client != nil {
-		conn := tls.Client(raw, s.Client)
+	if s.credentials.Current().Certificate != nil {
+		conn := tls.Client(raw, s.clientConfig())
 		if err := conn.HandshakeContext(ctx); err != nil {
 			return nil, fmt.Errorf("dial node %v: %w", addr, errors.Join(err, raw.Close()))
 		}
@@ -109,8 +117,8 @@
 		Log:     func(err error) { s.Log.Debug("Connection ended.", "err", err) },
 	})
 	lis := s.Listener
-	if s.Server != nil {
-		lis = tls.NewListener(lis, s.Server)
+	if s.credentials.Current().Certificate != nil {
+		lis = s.secure(ctx, lis)
 	}
 	err := server.Serve(ctx, lis)
 	if closeErr := s.pool.Close(); closeErr != nil {
--- a/node/serve.go
+++ b/node/serve.go
@@ -107,12 +107,10 @@
 // registrations lists the services of a node.
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
-	reread := make(chan os.Signal, 1)
-	signal.Notify(reread, syscall.SIGHUP)
 	return []kernel.Registration{
 		{
 			Name:    service.Credentials,
-			Service: &credentials.Service{Read: n.read, Reread: reread, Log: n.log("credentials")},
+			Service: &credentials.Service{Read: n.read, Reread: hangups(), Log: n.log("credentials")},
 		},
 		{
 			Name:  service.Gossip,
@@ -127,7 +125,11 @@
 			},
 		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
-		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
+		{
+			Name:    service.Peers,
+			Needs:   []string{service.Credentials},
+			Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")},
+		},
 		{
 			Name:  service.Config,
 			Needs: []string{service.Peers, service.Metrics},
@@ -176,3 +178,10 @@
 		},
 	}
 }
+
+// hangups delivers the signal on which credentials are read again.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -32,6 +32,11 @@
 	// Rules is the first rules document.
 	Rules []byte
 
+	// Keys are the fleet keys; nil means one key.
+	Keys []string
+	// Authority issues the nodes' certificates; nil means no TLS between nodes.
+	Authority *Authority
+
 	// Platform, VMs and Register are filled by Start.
 	Platform *platform.Server
 	VMs      []*VM
@@ -167,20 +172,45 @@
 	return out
 }
 
-// StartNode starts the node of a VM.
-func (f *Fleet) StartNode(v *VM) error {
-	settings, err := json.MarshalIndent(map[string]any{
+// WriteSettings writes the settings of a VM's node and returns the path. A node
+// that runs takes new fleet keys on SIGHUP.
+func (f *Fleet) WriteSettings(v *VM) (string, error) {
+	keys := f.Keys
+	if keys == nil {
+		keys = []string{"local fleet"}
+	}
+	values := map[string]any{
 		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
 		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress,
-		"fleetKeys": []string{"local fleet"},
+		"fleetKeys": keys,
 		"peers":     f.peers(v),
-	}, "", "  ")
+	}
+	if f.Authority != nil {
+		for _, what := range []string{"certificate", "key", "authority"} {
+			values[what] = f.pem(v, what)
+		}
+	}
+	settings, err := json.MarshalIndent(values, "", "  ")
 	if err != nil {
-		return fmt.Errorf("render settings: %w", err)
+		return "", fmt.Errorf("render settings: %w", err)
 	}
 	path := filepath.Join(f.Folder, v.Name+".settings.json")
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
-		return fmt.Errorf("write settings: %w", err)
+		return "", fmt.Errorf("write settings: %w", err)
+	}
+	return path, nil
+}
+
+// StartNode starts the node of a VM.
+func (f *Fleet) StartNode(v *VM) error {
+	path, err := f.WriteSettings(v)
+	if err != nil {
+		return err
+	}
+	if f.Authority != nil {
+		if err := f.WriteCredentials(v, f.Authority, f.Authority); err != nil {
+			return err
+		}
 	}
 	logs, err := os.OpenFile(filepath.Join(f.Folder, v.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/standin/fleet_command.go
+++ b/standin/fleet_command.go
@@ -17,6 +17,7 @@
 	fs := ff.NewFlagSet("fleet")
 	node := fs.String('n', "node", ".bin/cassiarack-node", "node program")
 	name := fs.String('d', "deployment", fleet.Latvia.Name, "deployment to run")
+	secure := fs.Bool('t', "tls", "use TLS between nodes, with keys made in memory")
 	return &ff.Command{
 		Name:      "fleet",
 		Usage:     "cassiarack-standin fleet [FLAGS]",
@@ -27,17 +28,22 @@
 			if !ok {
 				return fmt.Errorf("flag --deployment: found %q; allowed: latvia, rioGrandeDoSul", *name)
 			}
-			return runFleet(ctx, d, *node)
+			return runFleet(ctx, d, *node, *secure)
 		},
 	}
 }
 
-func runFleet(ctx context.Context, d fleet.Deployment, node string) (err error) {
+func runFleet(ctx context.Context, d fleet.Deployment, node string, secure bool) (err error) {
 	folder, err := os.MkdirTemp("", "cassiarack-fleet-")
 	if err != nil {
 		return fmt.Errorf("make folder: %w", err)
 	}
 	f := &fleet.Fleet{Deployment: d, Node: node, Folder: folder}
+	if secure {
+		if f.Authority, err = fleet.NewAuthority(); err != nil {
+			return err
+		}
+	}
 	start, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := f.Start(start); err != nil {
--- a/standin/proof/main_test.go
+++ b/standin/proof/main_test.go
@@ -50,7 +50,13 @@
 // start runs a fleet for the time of the test.
 func start(t *testing.T, d fleet.Deployment, rules string) *fleet.Fleet {
 	t.Helper()
-	f := &fleet.Fleet{Deployment: d, Node: nodeProgram, Folder: t.TempDir(), Rules: []byte(rules)}
+	return startFleet(t, &fleet.Fleet{Deployment: d, Rules: []byte(rules)})
+}
+
+// startFleet runs f for the time of the test.
+func startFleet(t *testing.T, f *fleet.Fleet) *fleet.Fleet {
+	t.Helper()
+	f.Node, f.Folder = nodeProgram, t.TempDir()
 	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
 	defer cancel()
 	t.Cleanup(func() {
--- /dev/null
+++ b/standin/proof/tls_test.go
@@ -0,0 +1,192 @@
+package proof
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/lib/service/admin"
+	"cassiarack.example/standin/fleet"
+)
+
+// startSecure runs the small deployment with TLS between nodes.
+func startSecure(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	a, err := fleet.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startFleet(t, &fleet.Fleet{Deployment: small, Authority: a})
+}
+
+// TestStrangers guards against peers that are served without a certificate of
+// the authority that names a VM of the register, and against connections that
+// hold resources without one.
+func TestStrangers(t *testing.T) {
+	is := is.New(t)
+	f := startSecure(t)
+	v := f.VMs[0]
+	other, err := fleet.NewAuthority()
+	is.NoErr(err)
+	is.True(refused(t, v, certificate(t, other, v.Name)))         // another authority
+	is.True(refused(t, v, certificate(t, f.Authority, "nobody"))) // not in the register
+	is.True(refused(t, v))                                        // no certificate
+	is.True(accepted(t, v, certificate(t, f.Authority, f.VMs[1].Name)))
+	is.True(logged(t, f, v, "signed by unknown authority"))
+	is.True(logged(t, f, v, `names no VM of the register: [\"nobody\"]`))
+	for _, junk := range []int{0, 1, 5, 5000} {
+		conn := dial(t, v.Fleet)
+		text := make([]byte, junk)
+		_, _ = rand.Read(text)
+		// A write fails when the node closed the connection before.
+		_, _ = conn.Write(text)
+		is.True(closed(t, conn))
+	}
+	l := startLoad(t.Context(), f)
+	waitUntil(t, "500 requests", func() bool { return l.number.Load() > 500 })
+	is.Equal(l.end(), nil)
+}
+
+// refused reports whether the node closes a connection that shows certificates.
+func refused(t *testing.T, v *fleet.VM, certs ...tls.Certificate) bool {
+	return closedWithin(t, v, stateTimeout, certs)
+}
+
+// accepted reports whether the node keeps such a connection open for a while. A
+// peer that is accepted gets no answer, as it asks nothing.
+func accepted(t *testing.T, v *fleet.VM, certs ...tls.Certificate) bool {
+	return !closedWithin(t, v, 2*time.Second, certs)
+}
+
+func closedWithin(t *testing.T, v *fleet.VM, d time.Duration, certs []tls.Certificate) bool {
+	t.Helper()
+	conn, err := tls.Dial("tcp", v.Fleet.String(), &tls.Config{Certificates: certs, InsecureSkipVerify: true})
+	if err != nil {
+		return true
+	}
+	defer conn.Close()
+	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// closed reports whether the node closes a connection by itself.
+func closed(t *testing.T, conn net.Conn) bool {
+	t.Helper()
+	defer conn.Close()
+	if err := conn.SetReadDeadline(time.Now().Add(stateTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 1<<10)
+	for {
+		// The node may send an alert before it closes.
+		if _, err := conn.Read(buf); err != nil {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+}
+
+func certificate(t *testing.T, a *fleet.Authority, vm string) tls.Certificate {
+	t.Helper()
+	cert, key, err := a.Issue(vm)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func countLogged(t *testing.T, f *fleet.Fleet, v *fleet.VM, text string) int {
+	t.Helper()
+	log, err := os.ReadFile(filepath.Join(f.Folder, v.Name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.Count(log, []byte(text))
+}
+
+func logged(t *testing.T, f *fleet.Fleet, v *fleet.VM, text string) bool {
+	return countLogged(t, f, v, text) > 0
+}
+
+// TestRotation guards against a replacement of keys and certificates that needs
+// a restart or fails requests: the authority and the fleet keys are replaced in
+// three steps each, under load.
+func TestRotation(t *testing.T) {
+	is := is.New(t)
+	f := startSecure(t)
+	l := startLoad(t.Context(), f)
+	old := f.Authority
+	next, err := fleet.NewAuthority()
+	is.NoErr(err)
+	for _, step := range []struct {
+		issuer  *fleet.Authority
+		trusted []*fleet.Authority
+		keys    []string
+	}{
+		{old, []*fleet.Authority{old, next}, []string{"local fleet", "next key"}},
+		{next, []*fleet.Authority{old, next}, []string{"next key", "local fleet"}},
+		{next, []*fleet.Authority{next}, []string{"next key"}},
+	} {
+		f.Keys = step.keys
+		for _, v := range f.VMs {
+			before := countLogged(t, f, v, "Replaced credentials.")
+			is.NoErr(f.WriteCredentials(v, step.issuer, step.trusted...))
+			waitUntil(t, "new certificates at "+v.Name, func() bool {
+				return countLogged(t, f, v, `Replaced credentials. cause="changed files"`) > 0 &&
+					countLogged(t, f, v, "Replaced credentials.") > before
+			})
+			before = countLogged(t, f, v, "cause=signal")
+			_, err := f.WriteSettings(v)
+			is.NoErr(err)
+			is.NoErr(v.Process.Process.Signal(syscall.SIGHUP))
+			waitUntil(t, "new keys at "+v.Name, func() bool { return countLogged(t, f, v, "cause=signal") > before })
+		}
+	}
+	is.Equal(l.end(), nil)
+	v := f.VMs[0]
+	is.True(refused(t, v, certificate(t, old, f.VMs[1].Name)))
+	is.True(accepted(t, v, certificate(t, next, f.VMs[1].Name)))
+	since := time.Now()
+	for _, v := range f.VMs {
+		waitUntil(t, "all members heard at "+v.Name, func() bool { return allHeard(t, v, time.Since(since)) })
+	}
+}
+
+// allHeard reports whether the node sees all members alive and heard each of
+// them within the time.
+func allHeard(t *testing.T, v *fleet.VM, within time.Duration) bool {
+	t.Helper()
+	res, err := http.Get(fmt.Sprintf("http://%v/members", v.Admin))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	var ms []admin.MemberState
+	if err := json.NewDecoder(res.Body).Decode(&ms); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range ms {
+		if m.State != "alive" || m.HeardSeconds < 0 || m.HeardSeconds > within.Seconds() {
+			return false
+		}
+	}
+	return len(ms) > 1
+}
