--- a/lib/service/credentials/credentials.go
+++ b/lib/service/credentials/credentials.go
@@ -17,6 +17,8 @@
 	"cassiarack.example/lib/input/settings"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/peers"
 )
 
 const (
@@ -53,9 +55,22 @@
 }
 
 // Bind implements kernel.Service. It reads the credentials for the first time.
-func (s *Service) Bind(*kernel.Directory) error {
+func (s *Service) Bind(dir *kernel.Directory) error {
+	p, err := kernel.Find[*peers.Service](dir, service.Peers)
+	if err != nil {
+		return err
+	}
 	s.commands = ring.New[struct{}](ringSize)
-	return s.load()
+	if err := s.load(); err != nil {
+		return err
+	}
+	if s.Current().Certificate != nil {
+		p.Secure(func() (*tls.Certificate, *x509.CertPool) {
+			c := s.Current()
+			return c.Certificate, c.Authority
+		})
+	}
+	return nil
 }
 
 // Current returns the credentials in force. It may be called after Bind.
--- a/lib/service/peers/peers.go
+++ b/lib/service/peers/peers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
@@ -21,8 +22,6 @@
 	"storj.io/drpc/drpcwire"
 
 	"cassiarack.example/lib/kernel"
-	"cassiarack.example/lib/service"
-	"cassiarack.example/lib/service/credentials"
 )
 
 // Limits of connections between nodes.
@@ -51,7 +50,8 @@
 	// Log receives connection errors and refused peers.
 	Log *log.Logger
 
-	credentials *credentials.Service
+	// credentials is nil when the connections do not use TLS.
+	credentials func() (*tls.Certificate, *x509.CertPool)
 	// admits reports whether a VM may connect; it is nil before a service that
 	// holds the register set it.
 	admits func(vm string) bool
@@ -61,11 +61,7 @@
 }
 
 // Bind implements kernel.Service.
-func (s *Service) Bind(dir *kernel.Directory) error {
-	var err error
-	if s.credentials, err = kernel.Find[*credentials.Service](dir, service.Credentials); err != nil {
-		return err
-	}
+func (s *Service) Bind(*kernel.Directory) error {
 	s.mux = drpcmux.New()
 	s.pool = drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout, Capacity: poolCapacity, KeyCapacity: poolKeyCapacity,
@@ -90,7 +86,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial node %v: %w", addr, err)
 	}
-	if s.credentials.Current().Certificate != nil {
+	if s.credentials != nil {
 		conn := tls.Client(raw, s.clientConfig())
 		if err := conn.HandshakeContext(ctx); err != nil {
 			return nil, fmt.Errorf("dial node %v: %w", addr, errors.Join(err, raw.Close()))
@@ -117,7 +113,7 @@
 		Log:     func(err error) { s.Log.Debug("Connection ended.", "err", err) },
 	})
 	lis := s.Listener
-	if s.credentials.Current().Certificate != nil {
+	if s.credentials != nil {
 		lis = s.secure(ctx, lis)
 	}
 	err := server.Serve(ctx, lis)
--- a/lib/service/peers/secure.go
+++ b/lib/service/peers/secure.go
@@ -31,6 +31,11 @@
 // for every name before there is a register.
 func (s *Service) Admit(admits func(vm string) bool) { s.admits = admits }
 
+// Secure makes all connections use TLS with the certificate and the authority
+// that current returns at the time of each handshake. It is called by the Bind
+// method of the service that holds them.
+func (s *Service) Secure(current func() (*tls.Certificate, *x509.CertPool)) { s.credentials = current }
+
 // verify checks the certificate of another node against the authority and the
 // register. Both sides of a connection call it.
 func (s *Service) verify(usage x509.ExtKeyUsage) func(tls.ConnectionState) error {
@@ -43,7 +48,8 @@
 		for _, c := range st.PeerCertificates[1:] {
 			others.AddCert(c)
 		}
-		_, err := leaf.Verify(x509.VerifyOptions{Roots: s.credentials.Current().Authority, Intermediates: others,
+		_, authority := s.credentials()
+		_, err := leaf.Verify(x509.VerifyOptions{Roots: authority, Intermediates: others,
 			KeyUsages: []x509.ExtKeyUsage{usage}})
 		if err != nil {
 			return fmt.Errorf("certificate of %q: %w", leaf.DNSNames, err)
@@ -62,9 +68,10 @@
 
 // serverConfig returns the configuration with the credentials in force.
 func (s *Service) serverConfig(*tls.ClientHelloInfo) (*tls.Config, error) {
+	cert, _ := s.credentials()
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{*s.credentials.Current().Certificate},
+		Certificates: []tls.Certificate{*cert},
 		// VerifyConnection verifies against the authority, and names the certificate
 		// in its error.
 		ClientAuth:             tls.RequireAnyClientCert,
@@ -75,9 +82,10 @@
 
 // clientConfig returns the configuration with the credentials in force.
 func (s *Service) clientConfig() *tls.Config {
+	cert, _ := s.credentials()
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{*s.credentials.Current().Certificate},
+		Certificates: []tls.Certificate{*cert},
 		// Nodes connect by address, so the standard check of a host name does not
 		// apply. VerifyConnection checks the chain and the name against the register.
 		InsecureSkipVerify: true,
--- a/node/serve.go
+++ b/node/serve.go
@@ -27,6 +27,7 @@
 	"cassiarack.example/lib/service/gate"
 	"cassiarack.example/lib/service/gossip"
 	"cassiarack.example/lib/service/handoff"
+	"cassiarack.example/lib/service/ledger"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/service/pause"
 	"cassiarack.example/lib/service/peers"
@@ -110,30 +111,20 @@
 	return []kernel.Registration{
 		{
 			Name:    service.Credentials,
+			Needs:   []string{service.Peers},
 			Service: &credentials.Service{Read: n.read, Reread: hangups(), Log: n.log("credentials")},
 		},
 		{
-			Name:  service.Gossip,
-			Needs: []string{service.Config, service.Credentials, service.Metrics},
-			Service: &gossip.Service{
-				Conn: n.listeners.datagrams,
-				Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
-					Incarnation: n.incarnation},
-				Seeds:  s.Peers,
-				Random: n.random(),
-				Log:    n.log("gossip"),
-			},
+			Name:    service.Gossip,
+			Needs:   []string{service.Config, service.Credentials, service.Metrics},
+			Service: n.gossip(),
 		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
-		{
-			Name:    service.Peers,
-			Needs:   []string{service.Credentials},
-			Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")},
-		},
+		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
 		{
 			Name:  service.Config,
 			Needs: []string{service.Peers, service.Metrics},
-			Service: &config.Service{VM: s.Name, DataCentre: s.DataCentre, Asked: s.Peers, Random: n.random(),
+			Service: &config.Service{VM: s.Name, Asked: s.Peers, Random: n.random(),
 				Log: n.log("config")},
 		},
 		{
@@ -144,7 +135,7 @@
 		},
 		{
 			Name:    service.Pause,
-			Needs:   []string{service.Metrics, service.Config, service.Gate, service.Gossip},
+			Needs:   []string{service.Metrics, service.Config, service.Gate, service.Gossip, service.Ledger},
 			Service: &pause.Service{Log: n.log("pause")},
 		},
 		{
@@ -158,9 +149,14 @@
 			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Gossip},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
+		{
+			Name:    service.Ledger,
+			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")},
+		},
 		{
 			Name:    service.Handoff,
-			Needs:   []string{service.Config, service.Peers, service.Router, service.Metrics},
+			Needs:   []string{service.Config, service.Peers, service.Router, service.Ledger, service.Metrics},
 			Service: &handoff.Service{Log: n.log("handoff")},
 		},
 		{
@@ -185,3 +181,15 @@
 	signal.Notify(c, syscall.SIGHUP)
 	return c
 }
+
+func (n *node) gossip() *gossip.Service {
+	s := n.settings
+	return &gossip.Service{
+		Conn: n.listeners.datagrams,
+		Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
+			Incarnation: n.incarnation},
+		Seeds:  s.Peers,
+		Random: n.random(),
+		Log:    n.log("gossip"),
+	}
+}
--- a/standin/proof/tls_test.go
+++ b/standin/proof/tls_test.go
@@ -28,7 +28,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return startFleet(t, &fleet.Fleet{Deployment: small, Authority: a})
+	f := &fleet.Fleet{Authority: a}
+	startFleet(t, f, small, "")
+	return f
 }
 
 // TestStrangers guards against peers that are served without a certificate of
