--- a/node/serve.go
+++ b/node/serve.go
@@ -108,24 +108,16 @@
 // registrations lists the services of a node.
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
-	reread := make(chan os.Signal, 1)
-	signal.Notify(reread, syscall.SIGHUP)
 	return []kernel.Registration{
 		{
 			Name:    service.Credentials,
-			Service: &credentials.Service{Read: n.read, Reread: reread, Log: n.log("credentials")},
+			Needs:   []string{service.Peers},
+			Service: &credentials.Service{Read: n.read, Reread: hangups(), Log: n.log("credentials")},
 		},
 		{
-			Name:  service.Gossip,
-			Needs: []string{service.Config, service.Credentials, service.Metrics},
-			Service: &gossip.Service{
-				Conn: n.listeners.datagrams,
-				Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
-					Incarnation: n.incarnation},
-				Seeds:  s.Peers,
-				Random: n.random(),
-				Log:    n.log("gossip"),
-			},
+			Name:    service.Gossip,
+			Needs:   []string{service.Config, service.Credentials, service.Metrics},
+			Service: n.gossip(),
 		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
 		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
@@ -179,3 +171,22 @@
 		},
 	}
 }
+
+// hangups delivers the signal on which credentials are read again.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+func (n *node) gossip() *gossip.Service {
+	s := n.settings
+	return &gossip.Service{
+		Conn: n.listeners.datagrams,
+		Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
+			Incarnation: n.incarnation},
+		Seeds:  s.Peers,
+		Random: n.random(),
+		Log:    n.log("gossip"),
+	}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -43,6 +43,11 @@
 	// Settings are further settings of all nodes.
 	Settings map[string]any
 
+	// Keys are the fleet keys; nil means one key.
+	Keys []string
+	// Authority issues the nodes' certificates; nil means no TLS between nodes.
+	Authority *Authority
+
 	// Platform, VMs and Register are filled by Start.
 	Platform *platform.Server
 	VMs      []*VM
@@ -191,21 +196,45 @@
 // coresOfVM is the number of cores that a node uses.
 const coresOfVM = 2
 
-// StartNode starts the node of a VM.
-func (f *Fleet) StartNode(v *VM) error {
+// WriteSettings writes the settings of a VM's node and returns the path. A node
+// that runs takes new fleet keys on SIGHUP.
+func (f *Fleet) WriteSettings(v *VM) (string, error) {
+	keys := f.Keys
+	if keys == nil {
+		keys = []string{"local fleet"}
+	}
 	values := map[string]any{
 		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
 		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress, "profiling": true,
-		"peers": f.peers(v), "fleetKeys": []string{"local fleet"},
+		"peers": f.peers(v), "fleetKeys": keys,
+	}
+	if f.Authority != nil {
+		for _, what := range []string{"certificate", "key", "authority"} {
+			values[what] = f.pem(v, what)
+		}
 	}
 	maps.Copy(values, f.Settings)
 	settings, err := json.MarshalIndent(values, "", "  ")
 	if err != nil {
-		return fmt.Errorf("render settings: %w", err)
+		return "", fmt.Errorf("render settings: %w", err)
 	}
 	path := filepath.Join(f.Folder, v.Name+".settings.json")
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
-		return fmt.Errorf("write settings: %w", err)
+		return "", fmt.Errorf("write settings: %w", err)
+	}
+	return path, nil
+}
+
+// StartNode starts the node of a VM.
+func (f *Fleet) StartNode(v *VM) error {
+	path, err := f.WriteSettings(v)
+	if err != nil {
+		return err
+	}
+	if f.Authority != nil {
+		if err := f.WriteCredentials(v, f.Authority, f.Authority); err != nil {
+			return err
+		}
 	}
 	logs, err := os.OpenFile(filepath.Join(f.Folder, v.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
