--- a/lib/decision/health/baseline.go
+++ b/lib/decision/health/baseline.go
@@ -8,8 +8,8 @@
 // The times of a route are counted in bins whose bounds grow by the factor
 // 2^(1/binsPerOctave).
 const (
-	bins          = 44
-	binsPerOctave = 2
+	bins          = 64
+	binsPerOctave = 3
 	// firstBin is the upper bound of the lowest bin. Differences between shorter
 	// times are not seen by callers.
 	firstBin = time.Millisecond
@@ -24,7 +24,7 @@
 // single one may count much.
 const (
 	maxErrorRatio = 5
-	maxSlowRatio  = 3
+	maxSlowRatio  = 4
 	maxHangRatio  = 7
 	minSlowRatio  = -2
 )
@@ -35,11 +35,14 @@
 	// keptWeight of observations is never forgotten, so that a pause of the
 	// traffic does not lose the usual times.
 	keptWeight = 400
-	// minWeight of observations is needed before times are judged.
+	// minWeight of observations is needed before times are judged. The ratios
+	// reach half of their size at halfTrust, as few observations give the rare
+	// times only roughly.
 	minWeight = 40
+	halfTrust = 100
 	// tailWeight is the pseudo weight of each bin, which stands for times that
 	// were not seen yet.
-	tailWeight = 0.05
+	tailWeight = 0.01
 	// Prior of the share of errors: 0.05 of 50, and never below minErrorShare.
 	priorErrors   = 0.05
 	priorAnswers  = 50
@@ -125,20 +128,21 @@
 	total := r.weight + tailWeight*bins
 	for i := range bins {
 		lower, upper := r.counts[max(i-1, 0)], r.counts[min(i+1, bins-1)]
-		p[i] = (0.2*lower + 0.6*r.counts[i] + 0.2*upper + tailWeight) / total
+		p[i] = (0.1*lower + 0.8*r.counts[i] + 0.1*upper + tailWeight) / total
 	}
 	for i := bins - 1; i >= 0; i-- {
 		s[i] = s[i+1] + p[i]
 	}
+	trust := r.weight / (r.weight + halfTrust)
 	for i := range bins {
 		p1, s1 := 0.0, 1.0
 		if i >= slowBins {
 			p1, s1 = p[i-slowBins], s[i-slowBins]
 		}
 		p1 = (1-slowMixture)*p1 + slowMixture/bins
-		r.table.slow[i] = clamp(math.Log(p1/p[i]), minSlowRatio, maxSlowRatio)
-		r.table.slowRunning[i] = clamp(math.Log(s1/s[i]), 0, maxSlowRatio)
-		r.table.hangRunning[i] = clamp(math.Log((hangShare+(1-hangShare)*s[i])/s[i]), 0, maxHangRatio)
+		r.table.slow[i] = trust * clamp(math.Log(p1/p[i]), minSlowRatio, maxSlowRatio)
+		r.table.slowRunning[i] = trust * clamp(math.Log(s1/s[i]), 0, maxSlowRatio)
+		r.table.hangRunning[i] = trust * clamp(math.Log((hangShare+(1-hangShare)*s[i])/s[i]), 0, maxHangRatio)
 	}
 }
 
--- /dev/null
+++ b/lib/decision/health/day_test.go
@@ -0,0 +1,83 @@
+package health
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiarack.example/lib/golden"
+)
+
+// day runs a healthy fleet with stragglers, cold starts, tenfold swings of
+// demand, and phases in which a service is slow or fails everywhere. It returns
+// the instances that were found faulty.
+func day[S any, P Policy[S]](s *stream[S, P], length time.Duration) (wrong map[string]int) {
+	wrong = make(map[string]int)
+	phase := "usual"
+	s.found = func(x *server[S, P], v Verdict) {
+		wrong[fmt.Sprintf("%s in phase %s", v.Hypothesis, phase)]++
+		s.reset(x)
+	}
+	peak := s.rate
+	s.run(min(time.Duration(warmUp/peak*float64(time.Second)), length))
+	for stop := s.now.Add(length); s.now.Before(stop); {
+		s.rate = peak / []float64{1, 2, 5, 10}[s.rng.IntN(4)]
+		g := s.groups[s.rng.IntN(len(s.groups))]
+		g.slow, g.errors, phase = 1, 0, "usual"
+		switch s.rng.IntN(12) {
+		case 0:
+			g.slow, phase = 4, "slow everywhere"
+		case 1:
+			g.errors, phase = 0.2, "errors everywhere"
+		case 2, 3, 4:
+			x := g.servers[s.rng.IntN(len(g.servers))]
+			x.cold, phase = s.now.Add(15*time.Second), "cold start"
+		}
+		s.run(10*time.Second + time.Duration(s.rng.Int64N(int64(50*time.Second))))
+		g.slow, g.errors = 1, 0
+	}
+	return wrong
+}
+
+// threshold returns the policy, with another threshold for experiments.
+func threshold() Sequential {
+	p := DefaultSequential
+	if x, err := strconv.ParseFloat(os.Getenv("CASSIARACK_THRESHOLD"), 64); err == nil {
+		p.Threshold = x
+	}
+	return p
+}
+
+// TestFalseEjections guards against ejections of healthy instances.
+// CASSIARACK_LONG=1 runs a whole day for each deployment and rate.
+func TestFalseEjections(t *testing.T) {
+	length := 3 * time.Minute
+	if long() {
+		length = 24 * time.Hour
+	}
+	var b strings.Builder
+	for _, d := range []struct {
+		name   string
+		shapes []shape
+	}{{"latvia", latvia}, {"rioGrandeDoSul", rio}} {
+		for _, rate := range []float64{30, 1} {
+			s := newStream[SequentialState](7, threshold(), d.shapes, rate)
+			wrong := day(s, length)
+			c := newStream[ConsecutiveState](7, Consecutive{Errors: 5}, d.shapes, rate)
+			c.jury = false
+			base := day(c, length)
+			fmt.Fprintf(&b, "%-14s at most %2.0f/s, %v, %d requests: false ejections %v; baseline %v\n", d.name, rate, length,
+				s.requests, wrong, base)
+			if len(wrong) > 0 {
+				t.Errorf("%s, %v/s: healthy instances found faulty: %v", d.name, rate, wrong)
+			}
+		}
+	}
+	t.Log("\n" + b.String())
+	if !long() {
+		golden.Check(t, "day", b.String())
+	}
+}
--- a/lib/decision/health/detector.go
+++ b/lib/decision/health/detector.go
@@ -10,9 +10,13 @@
 const (
 	// maxRunning bounds the running requests that are kept for an instance.
 	maxRunning = 512
-	// suspectScore is the share of the threshold from which an instance stands
-	// out. Its observations do not count as usual any more.
-	suspectScore = 0.33
+	// SuspectScore is the share of the threshold from which an instance stands
+	// out. Two stragglers at once do not reach it.
+	SuspectScore = 0.4
+	// learnBelow is the score from which the observations of an instance do not
+	// count as usual any more. It is higher than what stragglers reach, which
+	// must stay part of the usual times.
+	learnBelow = 0.6
 	// gateWeight is the weight of what the gate on the same VM sees in the usual
 	// times. It is low because the gate sees one instance only, and more of it
 	// than of its siblings.
@@ -63,8 +67,9 @@
 type track[S any] struct {
 	state   S
 	running []running
-	last    time.Time
-	score   Score
+	// last and failed are the times of the last observation and the last error.
+	last, failed time.Time
+	score        Score
 }
 
 // running is a request without an answer.
@@ -72,6 +77,8 @@
 	id      uint64
 	route   *route
 	started time.Time
+	// siblings is the evidence about the siblings at the start.
+	siblings Siblings
 }
 
 // Observe records an observation.
@@ -87,11 +94,12 @@
 	switch o.Kind {
 	case Started:
 		if len(t.running) < maxRunning && !i.isCold(now) {
-			t.running = append(t.running, running{id: o.ID, route: r, started: now})
+			t.running = append(t.running, running{id: o.ID, route: r, started: now,
+				siblings: i.service.seen.minus(i.seen)})
 		}
 	case Answered, Failed:
-		t.end(o.ID)
-		if !i.isCold(now) {
+		// A request that started while the instance was cold was not recorded.
+		if _, ok := t.end(o.ID); ok && !i.isCold(now) {
 			d.finished(now, i, t, r, o)
 		}
 	case Silent, Ended:
@@ -106,6 +114,9 @@
 	s := i.service
 	failed := o.Kind == Failed
 	s.errors.refresh(now)
+	if failed {
+		t.failed = now
+	}
 	e := Evidence{Failed: failed, Bad: failed}
 	e.Ratios[Errors] = s.errors.answered
 	if failed {
@@ -117,7 +128,7 @@
 		e.Bad = e.Ratios[Slow] > 0
 	}
 	d.add(now, i, t, e, o.Source)
-	if t.score.Value >= suspectScore {
+	if t.score.Value >= learnBelow {
 		return
 	}
 	w := 1.0
@@ -153,11 +164,8 @@
 		return Evidence{}
 	}
 	table, b := x.route.ratios(now), bin(now.Sub(x.started))
-	if b > 0 {
-		// The bin that the request is in has not passed yet.
-		b--
-	}
-	e := Evidence{Ratios: Ratios{Slow: table.slowRunning[b], Hangs: table.hangRunning[b]}}
+	e := Evidence{Ratios: Ratios{Slow: table.slowRunning[b], Hangs: table.hangRunning[b]}, Since: x.started,
+		Siblings: x.siblings}
 	e.Bad = e.Ratios[Hangs] > badRunning || e.Ratios[Slow] > badRunning
 	return e
 }
@@ -238,12 +246,15 @@
 		siblings = siblings.minus(sumOf(i.tracks[SourceEntry].evidence(now, nil)))
 	}
 	t.score = d.Policy.Score(&t.state, now, d.scratch, siblings)
-	if max(t.score.Value, t.score.Raw) < suspectScore {
+	if max(t.score.Value, t.score.Raw) < SuspectScore {
 		return Verdict{}, false
 	}
 	s := t.score
+	if s.Raw >= 1 && s.Value < commonSum {
+		d.Policy.Common(&t.state, now)
+	}
 	return Verdict{Service: i.label, Instance: i.name, VM: i.vm, Source: from, Cause: i.cause(now, s),
-		Hypothesis: s.Hypothesis, Samples: s.Samples, Bad: s.Bad, Score: s.Value,
+		Hypothesis: s.Hypothesis, Samples: s.Samples, Bad: s.Bad, Score: s.Value, Raw: s.Raw,
 		Confidence: confidence(s.LogOdds), Siblings: s.Siblings, Since: s.Since}, true
 }
 
@@ -251,7 +262,7 @@
 	switch {
 	case i.isCold(now):
 		return CauseCold
-	case s.Raw >= 1 && s.Value < 1, s.Value < suspectScore:
+	case s.Raw >= 1 && s.Value < 1, s.Value < SuspectScore:
 		return CauseService
 	case s.Value < 1 && s.Bad <= stragglers && s.Hypothesis != Errors:
 		return CauseStraggler
@@ -273,6 +284,14 @@
 	i.link = link{}
 }
 
+// Common tells that the evidence of a source against an instance is shared by
+// its service.
+func (d *Detector[S, P]) Common(now time.Time, name string, from Source) {
+	if i, ok := d.instances[name]; ok {
+		d.Policy.Common(&i.tracks[from].state, now)
+	}
+}
+
 // Paused drops the running requests, whose ages span a pause of the process.
 func (d *Detector[S, P]) Paused(time.Time) {
 	for _, i := range d.order {
@@ -346,6 +365,9 @@
 	// linkThreshold is the sum that is enough to suspect a link: two silent
 	// requests in a row. It only lowers the weight that this node gives.
 	linkThreshold = 9
+	// LinkReport is the score that a holder is told of: one silent request. The
+	// holder adds up the reports of several nodes.
+	LinkReport = 0.5
 	// selfVMs is the least number of VMs whose silence speaks against the node
 	// itself.
 	selfVMs = 3
@@ -361,6 +383,8 @@
 	value        float64
 	samples, bad int
 	since, last  time.Time
+	// heard is when the gate last answered.
+	heard time.Time
 }
 
 // heard records whether the gate of an instance answered this node.
@@ -372,13 +396,14 @@
 	l.last = now
 	if o.Kind == Silent {
 		if l.value == 0 {
-			*l = link{since: now, last: now}
+			*l = link{since: now, last: now, heard: l.heard}
 		}
 		l.value = min(l.value+silentRatio, 2*linkThreshold)
 		l.samples++
 		l.bad++
 		return
 	}
+	l.heard = now
 	if l.value >= linkThreshold && l.bad > stragglers {
 		// The VM is back; its backend server may have started anew.
 		i.cold = now.Add(coldAfterSilence - time.Second)
@@ -397,20 +422,29 @@
 		return nil, false
 	}
 	silent, heard := make(map[string]bool), make(map[string]bool)
+	first := now
 	for _, i := range d.order {
-		if i.link.last.IsZero() || now.Sub(i.link.last) > recent {
-			continue
-		}
-		heard[i.vm] = true
-		if i.link.value < linkThreshold {
+		if !i.silent(now) {
 			continue
 		}
 		silent[i.vm] = true
+		if i.link.since.Before(first) {
+			first = i.link.since
+		}
 		out = append(out, Verdict{Service: i.label, Instance: i.name, VM: i.vm, Source: SourceEntry, Cause: CauseLink,
 			Samples: i.link.samples, Bad: i.link.bad, Score: i.link.value / linkThreshold,
 			Confidence: confidence(i.link.value), Since: i.link.since})
 	}
-	self = len(silent) >= selfVMs && 2*len(silent) > len(heard)
+	for _, i := range d.order {
+		heard[i.vm] = heard[i.vm] || i.link.heard.After(first)
+	}
+	answering := 0
+	for vm, ok := range heard {
+		if ok && !silent[vm] {
+			answering++
+		}
+	}
+	self = len(silent) >= selfVMs && len(silent) > answering
 	if self {
 		for k := range out {
 			out[k].Cause = CauseSelf
@@ -420,7 +454,10 @@
 }
 
 func (d *Detector[S, P]) anySilence(now time.Time) bool {
-	return slices.ContainsFunc(d.order, func(i *instance[S]) bool {
-		return i.link.value >= linkThreshold && now.Sub(i.link.last) <= recent
-	})
+	return slices.ContainsFunc(d.order, func(i *instance[S]) bool { return i.silent(now) })
+}
+
+// silent reports whether the gate of an instance stands out as silent.
+func (i *instance[S]) silent(now time.Time) bool {
+	return i.link.value >= LinkReport*linkThreshold && now.Sub(i.link.last) <= recent
 }
--- a/lib/decision/health/jury.go
+++ b/lib/decision/health/jury.go
@@ -12,19 +12,12 @@
 	Gate       bool
 	Cause      Cause
 	Hypothesis Hypothesis
-	// Samples, Bad, Score and Siblings are those of the Verdict. A score below 1
-	// is an opinion in favour of the instance.
+	// Samples, Bad, Score and Siblings are those of the Verdict. A score of
+	// 0 is an opinion in favour of the instance.
 	Samples, Bad, Siblings int
-	Score                  float64
-}
-
-// Witness is what the holder's own gate saw of the same service, which is a
-// sibling that the holder observes in full.
-type Witness struct {
-	// Samples is the number of recent requests, at most the number that matters.
-	Samples int
-	// Raw is the largest score of an own instance for each hypothesis.
-	Raw [hypotheses]float64
+	Score, Raw             float64
+	// Since is when the evidence began.
+	Since time.Time
 }
 
 // Ruling is the decision about a suspicion.
@@ -40,7 +33,8 @@
 	ReasonWeak     = "evidence below the threshold"
 	ReasonOneVM    = "only one VM without an answer: the link is suspected"
 	ReasonMinority = "most VMs with recent evidence get answers"
-	ReasonService  = "the holder's own instance of the service is as bad"
+	ReasonService  = "too many instances of the service stand out at the same time"
+	ReasonSettling = "waiting for reports about other instances of the service"
 	ReasonSiblings = "no recent evidence of siblings to compare with"
 )
 
@@ -50,106 +44,224 @@
 	// minReporters is the least number of VMs that must agree where the gate
 	// itself does not speak.
 	minReporters = 2
-	// minSiblings is the least number of observations of siblings, at the
-	// reporter or at the holder.
+	// minLinkSum is the least sum of the scores of silent links: three silent
+	// requests.
+	minLinkSum = 1.8
+	// A part of 1/crowdPart of the other instances that stand out at the same time
+	// makes the fault one of the service: most instances are what is usual.
+	crowdPart = 2
+	// settleRequests is the number of requests of the suspect for which a
+	// decision waits, so that other instances with the same fault stand out too.
+	// The wait is bounded by minSettle, two judgements of a detector, and
+	// maxSettle.
+	settleRequests = 10
+	minSettle      = 200 * time.Millisecond
+	maxSettle      = 4 * time.Second
+	// crowdScore is the score from which an instance belongs to a crowd: one
+	// error.
+	crowdScore = 0.25
+	// minCrowdWindow is the least time before the evidence in which errors of
+	// other instances count.
+	minCrowdWindow = time.Second
+	// crowdAge is how long a standing counts. Holders ask anew in less.
+	crowdAge = time.Second
+	// minSiblings is the least number of observations of siblings at a reporter
+	// where no other gate answers the holder.
 	minSiblings = 2
 )
 
-// Jury gathers the reports about instances at a holder.
+// Jury gathers the reports about the instances of one service at a holder.
 type Jury struct {
-	reports map[string]map[string]report
+	reports   map[string]map[reporter]report
+	standings map[string]standing
+}
+
+// Standing is the score of an instance as its gate sees it, without the
+// comparison with its siblings. Holders ask for it before they decide.
+type Standing struct {
+	Instance string
+	Raw      float64
+}
+
+type standing struct {
+	raw float64
+	at  time.Time
+}
+
+// Stand records the standing of an instance.
+func (j *Jury) Stand(now time.Time, s Standing) {
+	if j.standings == nil {
+		j.standings = make(map[string]standing)
+	}
+	j.standings[s.Instance] = standing{raw: s.Raw, at: now}
+}
+
+// reporter is a VM in one of its roles.
+type reporter struct {
+	vm   string
+	gate bool
 }
 
 type report struct {
 	Suspicion
 	at time.Time
+	// strong is since when the score is enough.
+	strong time.Time
 }
 
 // Report records what a node says. A later report of the same node about the
-// same instance replaces the earlier one.
+// same instance in the same role replaces the earlier one.
 func (j *Jury) Report(now time.Time, s Suspicion) {
 	if j.reports == nil {
-		j.reports = make(map[string]map[string]report)
+		j.reports = make(map[string]map[reporter]report)
 	}
 	m, ok := j.reports[s.Instance]
 	if !ok {
-		m = make(map[string]report)
+		m = make(map[reporter]report)
 		j.reports[s.Instance] = m
 	}
-	m[s.Reporter] = report{Suspicion: s, at: now}
+	k := reporter{s.Reporter, s.Gate}
+	r := report{Suspicion: s, at: now}
+	if s.Score >= 1 {
+		r.strong = now
+		if old := m[k]; !old.strong.IsZero() && now.Sub(old.at) < crowdAge {
+			r.strong = old.strong
+		}
+	}
+	m[k] = r
+}
+
+// Rule decides whether the evidence against an instance is enough. Instances is
+// the size of the service.
+func (j *Jury) Rule(now time.Time, instance string, instances int) Ruling {
+	t := j.count(now, instance)
+	switch {
+	case t.gate != nil:
+		return j.compare(now, *t.gate, instances)
+	case t.links >= minReporters && t.links > t.inFavour && t.linkSum >= minLinkSum:
+		return Ruling{Upheld: true}
+	case t.servers >= minReporters:
+		return j.compare(now, *t.server, instances)
+	case t.links+t.servers == 1:
+		return Ruling{Reason: ReasonOneVM}
+	case t.links > 0 && t.links <= t.inFavour:
+		return Ruling{Reason: ReasonMinority}
+	}
+	return Ruling{Reason: ReasonWeak}
 }
 
-// Rule decides whether the evidence against an instance is enough.
-func (j *Jury) Rule(now time.Time, instance string, w Witness) Ruling {
-	var against, inFavour int
-	var gate, strongest *Suspicion
-	for vm, r := range j.reports[instance] {
+// tally sums the reports about an instance.
+type tally struct {
+	// gate and server are the strongest reports of the gate and of an entry
+	// against the backend server.
+	gate, server *report
+	// links, servers and inFavour count VMs.
+	links, servers, inFavour int
+	linkSum                  float64
+}
+
+func (j *Jury) count(now time.Time, instance string) tally {
+	var t tally
+	for k, r := range j.reports[instance] {
 		switch {
 		case now.Sub(r.at) > opinionAge:
-			delete(j.reports[instance], vm)
-			continue
+			delete(j.reports[instance], k)
+		case r.Cause == CauseLink && r.Score >= LinkReport:
+			t.links++
+			t.linkSum += r.Score
+		case r.Cause == CauseLink:
+			// Samples is the number of nodes that an asked one stands for.
+			t.inFavour += max(1, r.Samples)
 		case r.Score < 1:
-			inFavour++
-			continue
-		}
-		against++
-		if r.Gate {
-			gate = &r.Suspicion
-		}
-		if strongest == nil || r.Score > strongest.Score {
-			strongest = &r.Suspicion
+		case r.Gate:
+			t.gate = &r
+		default:
+			t.servers++
+			if t.server == nil || r.Score > t.server.Score {
+				t.server = &r
+			}
 		}
 	}
-	switch {
-	case strongest == nil:
-		return Ruling{Reason: ReasonWeak}
-	case gate != nil:
-		return compare(*gate, w)
-	case against < minReporters:
-		return Ruling{Reason: ReasonOneVM}
-	case against <= inFavour:
-		return Ruling{Reason: ReasonMinority}
-	case strongest.Cause == CauseLink:
-		return Ruling{Upheld: true}
-	}
-	return compare(*strongest, w)
+	return t
 }
 
-// compare checks a suspicion against what the holder saw of the service itself.
-func compare(s Suspicion, w Witness) Ruling {
+// compare checks a report against what is known of the other instances.
+func (j *Jury) compare(now time.Time, r report, instances int) Ruling {
+	crowd, heard := j.crowd(now, r.Instance)
 	switch {
-	case w.Raw[s.Hypothesis] >= suspectScore:
+	case now.Sub(r.strong) < settle(r):
+		return Ruling{Reason: ReasonSettling}
+	case crowdPart*crowd >= instances-1 && instances > 1:
 		return Ruling{Reason: ReasonService}
-	case s.Siblings < minSiblings && w.Samples < minSiblings:
+	case r.Siblings < minSiblings && heard == 0:
 		return Ruling{Reason: ReasonSiblings}
 	}
 	return Ruling{Upheld: true}
 }
 
+// settle returns how long a report must stand.
+func settle(r report) time.Duration {
+	gap := r.strong.Sub(r.Since) / time.Duration(max(r.Samples, 1))
+	return min(max(settleRequests*gap, minSettle), maxSettle)
+}
+
+// crowd counts the other instances whose standing is known and those of them
+// that stand out. In a fault of the whole service, the first instance to reach
+// the threshold is surrounded by many that are on their way.
+func (j *Jury) crowd(now time.Time, instance string) (crowd, heard int) {
+	for name, x := range j.standings {
+		switch {
+		case now.Sub(x.at) > crowdAge:
+			delete(j.standings, name)
+		case name != instance:
+			heard++
+			if x.raw >= crowdScore {
+				crowd++
+			}
+		}
+	}
+	return crowd, heard
+}
+
+// Since returns the time from which errors of other instances count for the
+// crowd. It lies as long before the evidence against an instance as that is old,
+// since the instance that fails first of many fails often in a short time.
+func (j *Jury) Since(now time.Time, instance string) time.Time {
+	since := now
+	for _, r := range j.reports[instance] {
+		if r.Score >= 1 && r.Since.Before(since) {
+			since = r.Since
+		}
+	}
+	return since.Add(-max(now.Sub(since), minCrowdWindow))
+}
+
 // Forget drops the reports about an instance.
 func (j *Jury) Forget(instance string) { delete(j.reports, instance) }
 
-// Witness returns what the gates of the given VM saw of a service lately.
-func (d *Detector[S, P]) Witness(now time.Time, service, vm, except string) Witness {
-	var w Witness
+// Standings returns the standings of the instances of a service whose gates are
+// on this VM and saw requests lately. An instance that failed a request after
+// the given time belongs to the crowd: where a whole service fails, the usual
+// share of errors soon rises, and with it the scores of all instances fall.
+func (d *Detector[S, P]) Standings(now time.Time, service string, since time.Time) []Standing {
+	var out []Standing
 	for _, i := range d.order {
 		t := &i.tracks[SourceGate]
-		if i.label != service || i.vm != vm || i.name == except || now.Sub(t.last) > opinionAge {
-			continue
+		if i.label == service && now.Sub(t.last) <= opinionAge {
+			x := Standing{Instance: i.name, Raw: t.score.Raw}
+			if t.failed.After(since) {
+				x.Raw = max(x.Raw, crowdScore)
+			}
+			out = append(out, x)
 		}
-		w.Samples = minSiblings
-		h := t.score.Hypothesis
-		w.Raw[h] = max(w.Raw[h], t.score.Raw)
 	}
-	return w
+	return out
 }
 
-// Opinion returns the verdict of this node, as an entry, about the way to an
-// instance, and whether it has recent evidence.
-func (d *Detector[S, P]) Opinion(now time.Time, name string) (score float64, ok bool) {
-	i, found := d.instances[name]
-	if !found || i.link.last.IsZero() || now.Sub(i.link.last) > recent {
-		return 0, false
-	}
-	return i.link.value / linkThreshold, true
+// Opinion reports whether this node, as an entry, got an answer from the gate of
+// an instance after the given time. Such a node speaks for the instance when
+// others report silence.
+func (d *Detector[S, P]) Opinion(name string, since time.Time) bool {
+	i, ok := d.instances[name]
+	return ok && i.link.heard.After(since)
 }
--- /dev/null
+++ b/lib/decision/health/measure_test.go
@@ -0,0 +1,106 @@
+package health
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiarack.example/lib/golden"
+)
+
+var faults = []fault{
+	{name: "errors 10%", errors: 0.1},
+	{name: "5 times slower", slowdown: 5},
+	{name: "hangs 1 in 5", hangs: 0.2},
+	{name: "answers lost", lost: true},
+	{name: "flapping 5 s, 5 times slower", slowdown: 5, flap: 5 * time.Second},
+	{name: "errors 100%", errors: 1},
+}
+
+// warmUp is the number of requests of an instance before the first fault.
+const warmUp = 900
+
+func long() bool { return os.Getenv("CASSIARACK_LONG") != "" }
+
+// giveUp is how long a fault may stay without detection.
+const giveUp = 30 * time.Second
+
+// detections injects a fault repeatedly and returns the detection times, sorted.
+// Faults that are not found count as giveUp.
+func detections[S any, P Policy[S]](s *stream[S, P], f fault, trials int) (times []time.Duration, wrong int) {
+	var target *server[S, P]
+	var at time.Time
+	s.found = func(x *server[S, P], _ Verdict) {
+		if x != target {
+			wrong++
+			s.reset(x)
+			return
+		}
+		if at.IsZero() {
+			at = s.now
+		}
+	}
+	s.run(time.Duration(warmUp / s.rate * float64(time.Second)))
+	for range trials {
+		at = time.Time{}
+		target = s.all[s.rng.IntN(len(s.all))]
+		target.fault, target.since = &f, s.now
+		start := s.now
+		for at.IsZero() && s.now.Sub(start) < giveUp {
+			s.run(judgeEvery)
+		}
+		times = append(times, min(s.now.Sub(start), giveUp))
+		target.fault = nil
+		s.run(10 * time.Second)
+		s.reset(target)
+		target = nil
+		s.run(time.Duration(s.rng.Int64N(int64(5 * time.Second))))
+	}
+	slices.Sort(times)
+	return times, wrong
+}
+
+func quantile(times []time.Duration, q float64) time.Duration {
+	return times[min(int(q*float64(len(times))), len(times)-1)]
+}
+
+// TestDetectionTime guards against a detector that misses gray failures or takes
+// longer than its aim. CASSIARACK_LONG=1 runs 200 trials of each fault.
+func TestDetectionTime(t *testing.T) {
+	trials := 4
+	if long() {
+		trials = 200
+	}
+	var b strings.Builder
+	for _, d := range []struct {
+		name   string
+		shapes []shape
+	}{{"latvia", latvia}, {"rioGrandeDoSul", rio}} {
+		for _, rate := range []float64{30, 1} {
+			for i, f := range faults {
+				s := newStream[SequentialState](uint64(i+1), DefaultSequential, d.shapes, rate)
+				times, wrong := detections(s, f, trials)
+				fmt.Fprintf(&b, "%-14s %2.0f/s %-28s p50 %6.1f s p99 %6.1f s wrong %d", d.name, rate, f.name,
+					quantile(times, 0.5).Seconds(), quantile(times, 0.99).Seconds(), wrong)
+				if long() {
+					c := newStream[ConsecutiveState](uint64(i+1), Consecutive{Errors: 5}, d.shapes, rate)
+					c.jury = false
+					base, baseWrong := detections(c, f, trials)
+					fmt.Fprintf(&b, "; baseline p50 %6.1f s p99 %6.1f s wrong %d", quantile(base, 0.5).Seconds(),
+						quantile(base, 0.99).Seconds(), baseWrong)
+				}
+				b.WriteString("\n")
+				if wrong > 0 {
+					t.Errorf("%s, %v/s, %s: %d healthy instances found faulty", d.name, rate, f.name, wrong)
+				}
+			}
+		}
+	}
+	t.Log("\n" + b.String())
+	if !long() {
+		golden.Check(t, "detection", b.String())
+	}
+}
--- a/lib/decision/health/observation.go
+++ b/lib/decision/health/observation.go
@@ -109,8 +109,9 @@
 	// Samples and Bad count the observations since the evidence began.
 	Samples, Bad int
 	// Score is the evidence as a multiple of the threshold: 1 or more is enough
-	// to ask for an ejection.
-	Score float64
+	// to ask for an ejection. Raw is the score without the comparison with the
+	// siblings.
+	Score, Raw float64
 	// Confidence is the probability that the instance is faulty.
 	Confidence float64
 	// Siblings is the number of observations of siblings in the same time.
--- a/lib/decision/health/policy.go
+++ b/lib/decision/health/policy.go
@@ -13,6 +13,10 @@
 	Bad bool
 	// Failed is set for an error.
 	Failed bool
+	// Since and Siblings are the start of a running request and the evidence
+	// about the siblings at that time.
+	Since    time.Time
+	Siblings Siblings
 }
 
 // Siblings is the sum of the evidence about the siblings since the start of the
@@ -57,13 +61,15 @@
 	Add(s *S, now time.Time, e Evidence, siblings Siblings)
 	// Score judges the finished requests together with those that still run.
 	Score(s *S, now time.Time, running []Evidence, siblings Siblings) Score
+	// Common discounts the evidence so far, as the whole service shares it.
+	Common(s *S, now time.Time)
 }
 
 // Sequential is the policy in use. It sums the log likelihood ratios of each
 // hypothesis and starts anew where a sum falls below 0 (CUSUM).
 type Sequential struct {
-	// Threshold is the sum that is enough. The chance that a healthy instance
-	// reaches it falls by e for each unit.
+	// Threshold is the sum that is enough at referenceRate. The chance that a
+	// healthy instance reaches it falls by e for each unit.
 	Threshold float64
 	// MinBad is the least number of bad observations.
 	MinBad int
@@ -75,12 +81,20 @@
 var DefaultSequential = Sequential{Threshold: 18, MinBad: 3}
 
 const (
+	// referenceRate, in requests a second, is the rate that Threshold is for. At
+	// another rate the threshold changes by the logarithm of the ratio, so that
+	// false alarms are as rare in a day at each rate.
+	referenceRate = 30
+	// minThreshold bounds the threshold at low rates.
+	minThreshold = 12
+	// rateMemory is the half-life of the estimate of the rate.
+	rateMemory = 30 * time.Second
 	// siblingFactor is how far an instance must exceed its siblings: evidence
 	// that is not this many times stronger than theirs counts as common.
 	siblingFactor = 2
 	// siblingPrior is the pseudo number of siblings' observations without
 	// evidence.
-	siblingPrior = 1
+	siblingPrior = 3
 	// episodePart of the threshold makes a rise of the sum an episode, which is
 	// remembered for episodeMemory. Each of the last two lowers the threshold by
 	// episodeDiscount, so that an instance that flaps is found faster each time.
@@ -88,6 +102,14 @@
 	episodeMemory   = time.Minute
 	episodeDiscount = 0.15
 	maxEpisodes     = 2
+	// maxSum bounds a sum as a multiple of the threshold, so that the instances
+	// of a service that was slow everywhere recover at the same time.
+	maxSum = 1.3
+	// commonSum is what is left of a sum that the whole service shares.
+	commonSum = 0.5
+	// sumMemory is the half-life of a sum. Evidence of some minutes ago says
+	// little about an instance with few requests.
+	sumMemory = time.Minute
 )
 
 // sum is the evidence for one hypothesis since it began.
@@ -102,10 +124,17 @@
 type SequentialState struct {
 	sums     [hypotheses]sum
 	episodes []time.Time
+	// count is the number of requests, decayed up to last.
+	count float64
+	last  time.Time
 }
 
 // Add implements Policy.
 func (p Sequential) Add(s *SequentialState, now time.Time, e Evidence, siblings Siblings) {
+	s.count = 1 + s.count*math.Exp2(-float64(now.Sub(s.last))/float64(rateMemory))
+	fade := math.Exp2(-float64(now.Sub(s.last)) / float64(sumMemory))
+	s.last = now
+	limit := maxSum * p.threshold(s, now)
 	for h := range s.sums {
 		x := &s.sums[h]
 		if x.value == 0 && e.Ratios[h] <= 0 {
@@ -114,7 +143,7 @@
 		if x.value == 0 {
 			*x = sum{since: now, siblings: siblings}
 		}
-		x.value += e.Ratios[h]
+		x.value = min(x.value*fade+e.Ratios[h], limit)
 		x.samples++
 		if e.Bad {
 			x.bad++
@@ -129,6 +158,14 @@
 	}
 }
 
+// Common implements Policy.
+func (p Sequential) Common(s *SequentialState, now time.Time) {
+	limit := commonSum * p.threshold(s, now)
+	for h := range s.sums {
+		s.sums[h].value = min(s.sums[h].value, limit)
+	}
+}
+
 func (s *SequentialState) episode(now time.Time) {
 	s.episodes = append(s.episodes, now)
 	if len(s.episodes) > maxEpisodes {
@@ -140,7 +177,9 @@
 	for len(s.episodes) > 0 && now.Sub(s.episodes[0]) > episodeMemory {
 		s.episodes = s.episodes[1:]
 	}
-	return p.Threshold * (1 - episodeDiscount*float64(len(s.episodes)))
+	rate := s.count * math.Ln2 / rateMemory.Seconds()
+	threshold := max(minThreshold, p.Threshold+math.Log((rate+1/rateMemory.Seconds())/referenceRate))
+	return threshold * (1 - episodeDiscount*float64(len(s.episodes)))
 }
 
 // Score implements Policy.
@@ -163,6 +202,9 @@
 	}
 	for _, e := range running {
 		if e.Ratios[h] > 0 {
+			if e.Since.Before(x.since) {
+				x.since, x.siblings = e.Since, e.Siblings
+			}
 			x.value += e.Ratios[h]
 			x.samples++
 			x.bad++
@@ -213,6 +255,9 @@
 	return Score{Hypothesis: Errors, Samples: s.errors, Bad: s.errors, Value: v, Raw: v, Since: s.since}
 }
 
+// Common implements Policy.
+func (Consecutive) Common(*ConsecutiveState, time.Time) {}
+
 // priorLogOdds is how much less likely a fault is than a healthy instance before
 // any evidence.
 const priorLogOdds = 9.2
--- /dev/null
+++ b/lib/decision/health/stream_test.go
@@ -0,0 +1,302 @@
+package health
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// shape is a service of a stream.
+type shape struct {
+	name  string
+	count int
+	slots int
+}
+
+var (
+	latvia = []shape{{"catalogue", 6, 3}, {"quotes", 12, 3}, {"surveys", 9, 3}}
+	rio    = []shape{{"galeria", 6, 4}, {"pedidos", 9, 4}, {"agenda", 9, 4}}
+)
+
+// Usual behaviour of the backend servers of a stream, as that of the stand-in.
+const (
+	meanTime        = 10 * time.Millisecond
+	stragglerShare  = 0.01
+	stragglerFactor = 50
+	usualErrors     = 0.0005
+	// reserveWait is how long an entry waits for the answer to a reserve.
+	reserveWait = 500 * time.Millisecond
+	deadline    = 30 * time.Second
+	judgeEvery  = 100 * time.Millisecond
+)
+
+// fault is how an instance misbehaves.
+type fault struct {
+	name     string
+	errors   float64
+	slowdown float64
+	hangs    float64
+	// lost is set when answers of the gate do not reach the entries.
+	lost bool
+	// flap turns the fault on and off in turn.
+	flap time.Duration
+}
+
+// server is a backend server, its gate's detector and the node of its VM.
+type server[S any, P Policy[S]] struct {
+	id       int
+	name     string
+	service  *group[S, P]
+	detector *Detector[S, P]
+	running  int
+	fault    *fault
+	since    time.Time
+	cold     time.Time
+	// ejected instances get no requests.
+	ejected time.Time
+}
+
+// group is a service of a stream.
+type group[S any, P Policy[S]] struct {
+	shape
+	servers []*server[S, P]
+	jury    Jury
+	// slow multiplies the times of all instances, errors adds to their errors.
+	slow, errors float64
+}
+
+// stream feeds generated observations to one detector for each node. It models
+// no messages between nodes.
+type stream[S any, P Policy[S]] struct {
+	rng     *rand.Rand
+	now     time.Time
+	rate    float64
+	groups  []*group[S, P]
+	all     []*server[S, P]
+	ends    endHeap[S, P]
+	id      uint64
+	judged  time.Time
+	arrival time.Time
+	// jury is unset for policies that eject by themselves.
+	jury bool
+	// paced arrivals have equal gaps instead of exponential ones.
+	paced bool
+	// found is called for each instance that the evidence is enough against.
+	found    func(x *server[S, P], v Verdict)
+	requests int
+}
+
+type end[S any, P Policy[S]] struct {
+	at       time.Time
+	target   *server[S, P]
+	entry    *server[S, P]
+	id       uint64
+	gate     Kind
+	word     Kind
+	took     time.Duration
+	holdsRun bool
+}
+
+type endHeap[S any, P Policy[S]] []end[S, P]
+
+func (h endHeap[S, P]) Len() int           { return len(h) }
+func (h endHeap[S, P]) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h endHeap[S, P]) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap[S, P]) Push(x any)        { *h = append(*h, x.(end[S, P])) }
+func (h *endHeap[S, P]) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+func newStream[S any, P Policy[S]](seed uint64, policy P, shapes []shape, rate float64) *stream[S, P] {
+	s := &stream[S, P]{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), rate: rate, jury: true,
+		found: func(*server[S, P], Verdict) {}}
+	s.judged, s.arrival = s.now, s.now
+	for _, sh := range shapes {
+		g := &group[S, P]{shape: sh, slow: 1}
+		for i := range sh.count {
+			x := &server[S, P]{id: len(s.all), name: fmt.Sprintf("%s-%02d", sh.name, i+1), service: g,
+				detector: &Detector[S, P]{Policy: policy}}
+			g.servers = append(g.servers, x)
+			s.all = append(s.all, x)
+		}
+		s.groups = append(s.groups, g)
+	}
+	return s
+}
+
+// run feeds observations for a time.
+func (s *stream[S, P]) run(d time.Duration) {
+	stop := s.now.Add(d)
+	for s.now.Before(stop) {
+		next := s.arrival
+		if len(s.ends) > 0 && s.ends[0].at.Before(next) {
+			next = s.ends[0].at
+		}
+		if at := s.judged.Add(judgeEvery); !at.After(next) {
+			s.now, s.judged = at, at
+			s.judge()
+			continue
+		}
+		s.now = next
+		if next.Equal(s.arrival) {
+			s.arrive()
+			gap := 1.0
+			if !s.paced {
+				gap = s.rng.ExpFloat64()
+			}
+			s.arrival = s.now.Add(time.Duration(gap / (s.rate * float64(len(s.all))) * float64(time.Second)))
+			continue
+		}
+		s.finish(heap.Pop(&s.ends).(end[S, P]))
+	}
+}
+
+// arrive hands a request to an instance from a random entry.
+func (s *stream[S, P]) arrive() {
+	s.requests++
+	x := s.all[s.rng.IntN(len(s.all))]
+	if s.paced {
+		x = s.all[s.requests%len(s.all)]
+	}
+	if s.now.Before(x.ejected) || x.running >= x.service.slots {
+		return
+	}
+	entry := s.all[s.rng.IntN(len(s.all))]
+	s.id++
+	e := end[S, P]{target: x, entry: entry, id: s.id, gate: Answered, word: Answered, holdsRun: true}
+	e.took = s.work(x, &e)
+	e.at = s.now.Add(e.took)
+	x.running++
+	s.observe(x, x.detector, SourceGate, Started, s.id, 0)
+	if x.lost(s.now) {
+		e.word = Ended
+		heap.Push(&s.ends, end[S, P]{at: s.now.Add(reserveWait), target: x, entry: entry, id: s.id, word: Silent})
+	} else {
+		s.observe(x, entry.detector, SourceEntry, Started, s.id, 0)
+	}
+	heap.Push(&s.ends, e)
+}
+
+func (x *server[S, P]) active(now time.Time) *fault {
+	f := x.fault
+	if f == nil || f.flap > 0 && now.Sub(x.since)/f.flap%2 == 1 {
+		return nil
+	}
+	return f
+}
+
+func (x *server[S, P]) lost(now time.Time) bool {
+	f := x.active(now)
+	return f != nil && f.lost
+}
+
+// work returns the time of a request and sets how it ends.
+func (s *stream[S, P]) work(x *server[S, P], e *end[S, P]) time.Duration {
+	d := s.rng.ExpFloat64() * float64(meanTime) * x.service.slow
+	if s.rng.Float64() < stragglerShare {
+		d *= stragglerFactor
+	}
+	if s.now.Before(x.cold) {
+		d *= 8
+	}
+	errors := usualErrors + x.service.errors
+	if f := x.active(s.now); f != nil {
+		errors += f.errors
+		if f.slowdown > 0 {
+			d *= f.slowdown
+		}
+		if s.rng.Float64() < f.hangs {
+			e.gate, e.word = Ended, Ended
+			return deadline
+		}
+	}
+	if s.rng.Float64() < errors {
+		e.gate, e.word = Failed, Failed
+	}
+	return time.Duration(d)
+}
+
+func (s *stream[S, P]) finish(e end[S, P]) {
+	if e.holdsRun {
+		e.target.running--
+		s.observe(e.target, e.target.detector, SourceGate, e.gate, e.id, e.took)
+	}
+	if e.word != Ended || e.gate == Ended {
+		s.observe(e.target, e.entry.detector, SourceEntry, e.word, e.id, e.took)
+	}
+}
+
+func (s *stream[S, P]) observe(x *server[S, P], d *Detector[S, P], from Source, k Kind, id uint64, took time.Duration) {
+	d.Observe(s.now, Observation{Service: x.service.name, Instance: x.name, VM: x.name, Route: "GET /" + x.service.name + "/",
+		Source: from, Kind: k, ID: id, Time: took, Cold: s.now.Before(x.cold)})
+}
+
+// judge asks all detectors and the jury of each service, which stands at the
+// first instance.
+func (s *stream[S, P]) judge() {
+	suspects := make(map[*server[S, P]]Verdict)
+	for _, reporter := range s.all {
+		for _, v := range reporter.detector.Judge(s.now) {
+			if v.Cause == CauseSelf || v.Cause == CauseCold {
+				continue
+			}
+			x := s.find(v)
+			x.service.jury.Report(s.now, Suspicion{Instance: v.Instance, Reporter: reporter.name,
+				Gate: v.Source == SourceGate, Cause: v.Cause, Hypothesis: v.Hypothesis, Score: v.Score, Raw: v.Raw,
+				Samples: v.Samples, Siblings: v.Siblings, Since: v.Since})
+			if v.Cause == CauseLink {
+				s.opinions(x, v.Since)
+			}
+			suspects[x] = v
+		}
+	}
+	for x, v := range suspects {
+		for _, y := range x.service.servers {
+			for _, st := range y.detector.Standings(s.now, x.service.name, x.service.jury.Since(s.now, x.name)) {
+				x.service.jury.Stand(s.now, st)
+			}
+		}
+		if !s.jury {
+			if v.Score >= 1 {
+				s.found(x, v)
+			}
+			continue
+		}
+		switch r := x.service.jury.Rule(s.now, x.name, x.service.count); {
+		case r.Upheld:
+			s.found(x, v)
+		case r.Reason == ReasonService:
+			x.detector.Common(s.now, x.name, SourceGate)
+		}
+	}
+}
+
+// opinions asks the other nodes about the way to an instance.
+func (s *stream[S, P]) opinions(x *server[S, P], since time.Time) {
+	for _, node := range s.all {
+		if node.detector.Opinion(x.name, since) {
+			x.service.jury.Report(s.now, Suspicion{Instance: x.name, Reporter: node.name, Cause: CauseLink})
+		}
+	}
+}
+
+func (s *stream[S, P]) find(v Verdict) *server[S, P] {
+	for _, x := range s.all {
+		if x.name == v.Instance {
+			return x
+		}
+	}
+	panic("verdict on an unknown instance " + v.Instance)
+}
+
+// reset forgets an instance at all detectors.
+func (s *stream[S, P]) reset(x *server[S, P]) {
+	for _, n := range s.all {
+		n.detector.Reset(x.name)
+	}
+	x.service.jury.Forget(x.name)
+}
--- a/lib/service/admin/admin.go
+++ b/lib/service/admin/admin.go
@@ -17,6 +17,7 @@
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/service"
 	configservice "cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/ejection"
 	"cassiarack.example/lib/service/gate"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/service/peers"
@@ -41,12 +42,13 @@
 	// Log receives failures of the server.
 	Log *log.Logger
 
-	config  *configservice.Service
-	gate    *gate.Service
-	peers   *peers.Service
-	router  router.Router
-	metrics *metrics.Service
-	server  *http.Server
+	config   *configservice.Service
+	gate     *gate.Service
+	ejection *ejection.Service
+	peers    *peers.Service
+	router   router.Router
+	metrics  *metrics.Service
+	server   *http.Server
 }
 
 // State is the state of one node in detail.
@@ -68,6 +70,9 @@
 	if s.gate, err = kernel.Find[*gate.Service](dir, service.Gate); err != nil {
 		return err
 	}
+	if s.ejection, err = kernel.Find[*ejection.Service](dir, service.Ejection); err != nil {
+		return err
+	}
 	if s.peers, err = kernel.Find[*peers.Service](dir, service.Peers); err != nil {
 		return err
 	}
@@ -81,6 +86,7 @@
 	r.HandleFunc("/ready", s.ready).Methods(http.MethodGet)
 	r.HandleFunc("/state", s.state).Methods(http.MethodGet)
 	r.HandleFunc("/fleet", s.fleet).Methods(http.MethodGet)
+	r.HandleFunc("/decisions", s.decisions).Methods(http.MethodGet)
 	r.HandleFunc("/explain", s.explain).Methods(http.MethodGet)
 	r.Handle("/metrics", s.metrics.Handler()).Methods(http.MethodGet)
 	if s.Profiling {
--- /dev/null
+++ b/lib/service/admin/decisions.go
@@ -0,0 +1,47 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"cassiarack.example/lib/service/ejection"
+)
+
+// Decisions is the body of /decisions.
+type Decisions struct {
+	VM string `json:"vm"`
+	// SelfSuspect is set while the node suspects itself.
+	SelfSuspect bool `json:"selfSuspect"`
+	// Instances holds those that stand out now.
+	Instances map[string]InstanceMark `json:"instances"`
+	// Decisions are the last verdicts and ejection decisions, oldest first.
+	Decisions []ejection.Decision `json:"decisions"`
+}
+
+// InstanceMark tells how an instance stands out.
+type InstanceMark struct {
+	Ejected bool `json:"ejected"`
+	// Weight is the share of idempotent requests, between 0 and 1.
+	Weight float64    `json:"weight"`
+	Until  *time.Time `json:"until,omitempty"`
+}
+
+func (s *Service) decisions(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	out := Decisions{VM: s.VM, Instances: make(map[string]InstanceMark), Decisions: s.ejection.Decisions()}
+	if snap := s.ejection.Snapshot(); snap != nil {
+		out.SelfSuspect = snap.Suspect
+		for i, x := range snap.Instances {
+			m := InstanceMark{Ejected: x.Ejected && now.Before(x.Until), Weight: snap.Weight(now, i, true)}
+			if now.Before(x.Until) {
+				m.Until = &x.Until
+			}
+			out.Instances[i] = m
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		s.Log.Debug("Decisions not sent.", "err", err)
+	}
+}
--- /dev/null
+++ b/lib/service/ejection/log.go
@@ -0,0 +1,65 @@
+package ejection
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// logSize bounds the decision log.
+	logSize = 256
+	// logRepeat is the least time between two equal entries.
+	logRepeat = 5 * time.Second
+)
+
+// Decision is an entry of the decision log, for operators.
+type Decision struct {
+	At       time.Time `json:"at"`
+	Service  string    `json:"service"`
+	Instance string    `json:"instance"`
+	// What is verdict, report, ejected, trial, returned or refused.
+	What string `json:"what"`
+	// Reporter is the VM whose evidence this is.
+	Reporter string `json:"reporter,omitempty"`
+	Cause    string `json:"cause,omitempty"`
+	Samples  int    `json:"samples,omitempty"`
+	Bad      int    `json:"bad,omitempty"`
+	// Score is the evidence as a multiple of the threshold.
+	Score      float64 `json:"score,omitempty"`
+	Confidence float64 `json:"confidence,omitempty"`
+	// Reason tells why something was refused.
+	Reason string `json:"reason,omitempty"`
+	// Share is the share of requests in thousandths while an instance returns.
+	Share int        `json:"share,omitempty"`
+	Until *time.Time `json:"until,omitempty"`
+}
+
+// decisionLog keeps the last decisions.
+type decisionLog struct {
+	entries []Decision
+	// last is when each kind of entry was recorded.
+	last map[decisionKey]time.Time
+}
+
+type decisionKey struct{ instance, what, reporter, cause, reason string }
+
+// add records a decision and reports whether it did: an entry that repeats a
+// recent one is left out.
+func (l *decisionLog) add(d Decision) bool {
+	k := decisionKey{d.Instance, d.What, d.Reporter, d.Cause, d.Reason}
+	if l.last == nil {
+		l.last = make(map[decisionKey]time.Time)
+	}
+	if at, ok := l.last[k]; ok && d.At.Sub(at) < logRepeat {
+		return false
+	}
+	if len(l.last) > 4*logSize {
+		clear(l.last)
+	}
+	l.last[k] = d.At
+	if len(l.entries) == logSize {
+		l.entries = slices.Delete(l.entries, 0, 1)
+	}
+	l.entries = append(l.entries, d)
+	return true
+}
--- /dev/null
+++ b/lib/service/ejection/send.go
@@ -0,0 +1,151 @@
+package ejection
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cassiarack.example/lib/decision/floor"
+	"cassiarack.example/lib/decision/health"
+	"cassiarack.example/lib/wire"
+)
+
+const (
+	// sharedWith is the number of nodes that are told of a new lease at once.
+	// Membership datagrams carry it to the others.
+	sharedWith = 32
+	// askedNodes is the number of nodes that are asked about the way to an
+	// instance.
+	askedNodes = 8
+	// askedSiblings bounds the nodes that are asked for the scores of a service.
+	askedSiblings = 32
+	// standingEvery is the time between two rounds of questions about a service.
+	standingEvery = 300 * time.Millisecond
+	// askEvery is the time between two rounds of questions about an instance.
+	askEvery = time.Second
+)
+
+// job is one message to another node. One of its fields is set.
+type job struct {
+	to        netip.AddrPort
+	suspicion *wire.Suspicion
+	leases    *wire.LeaseSet
+	question  *question
+	standing  *wire.StandingRequest
+}
+
+// question asks a node about the way to an instance.
+type question struct {
+	vm     string
+	ask    *wire.OpinionRequest
+	weight int
+}
+
+// offer gives a job to a sender. A job that finds no room is dropped and
+// counted: reports are repeated, and datagrams carry leases as well.
+func (s *Service) offer(j job) {
+	if err := s.jobs.Offer(j); err != nil {
+		s.scope.Counter("messages_dropped").Inc(1)
+	}
+}
+
+// send is the duty of a sender.
+func (s *Service) send(ctx context.Context) {
+	for {
+		j, err := s.jobs.Take(ctx)
+		if err != nil {
+			return
+		}
+		if err := s.perform(ctx, j); err != nil && ctx.Err() == nil {
+			s.Log.Debug("Message not delivered.", "to", j.to, "err", err)
+		}
+	}
+}
+
+func (s *Service) perform(ctx context.Context, j job) error {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	conn := s.peers.Conn(ctx, j.to)
+	switch {
+	case j.suspicion != nil:
+		r, err := wire.NewDRPCEjectionClient(conn).Suspect(ctx, j.suspicion)
+		if err != nil || !r.GetCommon() {
+			return err
+		}
+		return s.commands.Offer(reply{instance: j.suspicion.GetInstance(), answer: r})
+	case j.leases != nil:
+		_, err := wire.NewDRPCEjectionClient(conn).Share(ctx, j.leases)
+		return err
+	case j.standing != nil:
+		r, err := wire.NewDRPCObservationClient(conn).Standing(ctx, j.standing)
+		if err != nil {
+			return err
+		}
+		c := standings{service: j.standing.GetService()}
+		for _, x := range r.GetInstances() {
+			c.scores = append(c.scores, health.Standing{Instance: x.GetInstance(), Raw: x.GetRaw()})
+		}
+		return s.commands.Offer(c)
+	default:
+		r, err := wire.NewDRPCObservationClient(conn).Opinion(ctx, j.question.ask)
+		if err != nil || !r.GetAnswers() {
+			return err
+		}
+		return s.commands.Offer(opinion{instance: j.question.ask.GetInstance(), vm: j.question.vm, weight: j.question.weight})
+	}
+}
+
+// others returns some other VMs of the register in random order.
+func (s *Service) others(n int) (vms []string, all int) {
+	names := slices.Sorted(maps.Keys(s.duty.conf.VMs))
+	names = slices.DeleteFunc(names, func(v string) bool { return v == s.VM })
+	s.Random.Shuffle(len(names), func(i, k int) { names[i], names[k] = names[k], names[i] })
+	return names[:min(n, len(names))], len(names)
+}
+
+// share tells some other nodes of new leases at once.
+func (s *Service) share(now time.Time, leases []floor.Lease) {
+	if len(leases) == 0 {
+		return
+	}
+	set := &wire.LeaseSet{}
+	for _, x := range leases {
+		set.Leases = append(set.Leases, ToLease(now, x))
+	}
+	vms, _ := s.others(sharedWith)
+	for _, v := range vms {
+		s.offer(job{to: s.duty.conf.VMs[v].Node, leases: set})
+	}
+}
+
+// askOpinions asks some nodes whether an instance answers them.
+func (s *Service) askOpinions(now time.Time, x *serviceState, in health.Suspicion) {
+	if now.Sub(x.asked[in.Instance]) < askEvery {
+		return
+	}
+	x.asked[in.Instance] = now
+	vms, all := s.others(askedNodes)
+	ask := &wire.OpinionRequest{Instance: in.Instance, Age: int64(now.Sub(in.Since))}
+	for _, v := range vms {
+		// Each asked node stands for its part of the fleet.
+		q := &question{vm: v, ask: ask, weight: max(1, all/len(vms))}
+		s.offer(job{to: s.duty.conf.VMs[v].Node, question: q})
+	}
+}
+
+// askStandings asks the gates of a service, this VM's own among them, how their
+// instances stand.
+func (s *Service) askStandings(now time.Time, x *serviceState, in health.Suspicion) {
+	if now.Sub(x.stood) < standingEvery {
+		return
+	}
+	x.stood = now
+	ask := &wire.StandingRequest{Service: x.assignment.Service, Age: int64(now.Sub(x.jury.Since(now, in.Instance)))}
+	vms := s.duty.conf.Services[x.assignment.Service].VMs()
+	s.Random.Shuffle(len(vms), func(i, k int) { vms[i], vms[k] = vms[k], vms[i] })
+	for _, v := range vms[:min(askedSiblings, len(vms))] {
+		s.offer(job{to: v.Node, standing: ask})
+	}
+}
--- /dev/null
+++ b/lib/service/ejection/snapshot.go
@@ -0,0 +1,71 @@
+package ejection
+
+import (
+	"time"
+
+	"cassiarack.example/lib/decision/floor"
+)
+
+// minWeight is the least weight of an instance that is not ejected: an instance
+// that nobody may eject still gets some requests, as the floor counts on it.
+const minWeight = 1.0 / 16
+
+// State is how an instance stands out. The zero value is an instance without a
+// mark.
+type State struct {
+	// Ejected is set while the instance gets no requests.
+	Ejected bool
+	// Trial is the share while it returns, between 0 and 1, or 0.
+	Trial float64
+	// Local is the weight that this node's own evidence leaves, or 0 for all.
+	Local float64
+	// Until is when the ejection or trial ends if nothing renews it.
+	Until time.Time
+}
+
+// Snapshot is an immutable view of the instances that stand out.
+type Snapshot struct {
+	// At is when the snapshot was made.
+	At time.Time
+	// Instances holds the instances with a mark.
+	Instances map[string]State
+	// Common holds the instances whose fault the whole service shares, with the
+	// time of the ruling.
+	Common map[string]time.Time
+	// Suspect is set while this node suspects itself.
+	Suspect bool
+
+	leases []floor.Lease
+}
+
+// Weight returns the share of requests that an instance may get, between 0 and
+// 1. An instance on trial gets idempotent requests only.
+func (s *Snapshot) Weight(now time.Time, instance string, idempotent bool) float64 {
+	if s == nil {
+		return 1
+	}
+	x, ok := s.Instances[instance]
+	switch {
+	case !ok:
+		return 1
+	case now.Before(x.Until) && (x.Ejected || !idempotent):
+		return 0
+	case now.Before(x.Until):
+		return x.Trial
+	case x.Local > 0:
+		return x.Local
+	}
+	return 1
+}
+
+// Badness orders instances that all have weight 0: the lowest is the least bad.
+func (s *Snapshot) Badness(now time.Time, instance string) float64 {
+	if s == nil {
+		return 0
+	}
+	x := s.Instances[instance]
+	if !now.Before(x.Until) {
+		return 0
+	}
+	return 1 - x.Trial
+}
--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -192,7 +192,9 @@
 func (x *exchange) serve(adm admitted, head request.Head) error {
 	started := time.Now()
 	ctx, span := otel.Tracer(tracerName).Start(x.ctx, "backend server")
-	last := x.call(ctx, adm, head)
+	seen := x.sight(adm.instance, adm.grant.Number)
+	last := x.call(ctx, adm, head, seen)
+	seen.ended(last)
 	span.End()
 	load := x.finish(adm)
 	if load != nil {
@@ -220,7 +222,7 @@
 }
 
 // call performs the HTTP call and returns the last message to the entry.
-func (x *exchange) call(ctx context.Context, adm admitted, head request.Head) *wire.Down {
+func (x *exchange) call(ctx context.Context, adm admitted, head request.Head, seen *sight) *wire.Down {
 	var p progress
 	body, trailer := x.body(head)
 	inst := adm.instance
@@ -236,6 +238,7 @@
 		return x.lost(err, !p.wrote.Load())
 	}
 	defer res.Body.Close()
+	seen.answered(res.StatusCode)
 	down := &wire.Down{Kind: &wire.Down_Head{Head: &wire.ResponseHead{
 		Status:        uint32(res.StatusCode),
 		Fields:        wire.ToFields(EndToEnd(res.Header)),
--- a/lib/service/gate/gate.go
+++ b/lib/service/gate/gate.go
@@ -15,6 +15,7 @@
 	"cassiarack.example/lib/service"
 	configservice "cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/observer"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/wire"
 )
@@ -43,6 +44,7 @@
 
 	commands *ring.Ring[command]
 	config   *configservice.Service
+	observer observer.Observer
 	scope    tally.Scope
 	grants   handover.Gate
 	desks    map[string]*desk
@@ -71,6 +73,9 @@
 	if err != nil {
 		return err
 	}
+	if s.observer, err = observer.Find(dir); err != nil {
+		return err
+	}
 	s.scope = m.Scope().SubScope("gate")
 	s.commands = ring.New[command](ringSize)
 	s.grants = handover.Gate{Incarnation: s.Incarnation, Hold: hold, Memory: memory}
--- /dev/null
+++ b/lib/service/gate/observe.go
@@ -0,0 +1,64 @@
+package gate
+
+import (
+	"net/http"
+	"time"
+
+	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/health"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/wire"
+)
+
+// sight is what the gate observes of one call of a backend server. It ends with
+// the head of the answer, so that a caller who reads slowly does not count
+// against the server.
+type sight struct {
+	s       *Service
+	inst    *config.Instance
+	route   string
+	id      uint64
+	started time.Time
+	done    bool
+}
+
+// sight starts the observation of a call.
+func (x *exchange) sight(inst *config.Instance, id uint64) *sight {
+	o := &sight{s: x.s, inst: inst, route: x.reserve.GetRoute(), id: id, started: time.Now()}
+	o.observe(o.started, health.Started)
+	return o
+}
+
+func (o *sight) observe(now time.Time, k health.Kind) {
+	o.s.observer.Observe(now, health.Observation{Service: o.inst.Service.Name, Instance: o.inst.Name, VM: o.inst.VM.Name,
+		Route: o.route, Source: health.SourceGate, Kind: k, ID: o.id, Time: now.Sub(o.started)})
+}
+
+// answered ends the observation with the status of an answer.
+func (o *sight) answered(status int) {
+	if o.done {
+		return
+	}
+	o.done = true
+	k := health.Answered
+	if status >= http.StatusInternalServerError {
+		k = health.Failed
+	}
+	o.observe(time.Now(), k)
+}
+
+// ended ends the observation of a call that got no answer.
+func (o *sight) ended(last *wire.Down) {
+	if o.done {
+		return
+	}
+	o.done = true
+	k := health.Ended
+	if f := last.GetFailed(); f != nil {
+		switch wire.FromReason(f.GetReason()) {
+		case request.ReasonBackendLost, request.ReasonConnect:
+			k = health.Failed
+		}
+	}
+	o.observe(time.Now(), k)
+}
--- a/lib/service/handoff/attempt.go
+++ b/lib/service/handoff/attempt.go
@@ -36,6 +36,8 @@
 	stream wire.DRPCHandover_ExchangeClient
 	downs  *ring.Ring[*wire.Down]
 	load   *router.Load
+	// reserved is when the gate granted the slot.
+	reserved time.Time
 	// sender is closed when the goroutine that sends the body ended.
 	sender chan struct{}
 }
@@ -95,6 +97,7 @@
 	client := wire.NewDRPCHandoverClient(a.s.peers.Conn(a.ctx, a.inst.VM.Node))
 	stream, err := client.Exchange(a.ctx)
 	if err != nil {
+		a.observeReserved(err)
 		return a.unreachable(err)
 	}
 	a.stream = stream
@@ -115,6 +118,7 @@
 		reserve.Head = wire.ToHead(a.req.Head)
 	}
 	if err := stream.Send(&wire.Up{Kind: &wire.Up_Reserve{Reserve: reserve}}); err != nil {
+		a.observeReserved(err)
 		return a.unreachable(err)
 	}
 	go a.receive()
@@ -167,6 +171,7 @@
 	ctx, cancel := context.WithTimeout(a.ctx, patience+reserveTimeout)
 	defer cancel()
 	down, err := a.downs.Take(ctx)
+	a.observeReserved(err)
 	switch {
 	case a.ctx.Err() != nil:
 		return nil, a.ended(a.withoutGrant())
@@ -175,6 +180,7 @@
 	}
 	a.note(down)
 	if r := down.GetRefused(); r != nil {
+		a.observeRefused()
 		return nil, refusal(r)
 	}
 	if down.GetReserved() == nil {
@@ -245,6 +251,7 @@
 // awaitHead waits for the head of the answer.
 func (a *attempt) awaitHead(grant *wire.Grant) (*request.Answer, *request.Failure) {
 	down, err := a.downs.Take(a.ctx)
+	a.observeHead(down, err)
 	switch {
 	case a.ctx.Err() != nil:
 		return nil, a.ended(request.Unknown)
--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -14,6 +14,7 @@
 	"cassiarack.example/lib/service"
 	configservice "cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/observer"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/router"
 )
@@ -39,10 +40,11 @@
 	// Log receives lost links.
 	Log *log.Logger
 
-	config *configservice.Service
-	peers  *peers.Service
-	router router.Router
-	scope  tally.Scope
+	config   *configservice.Service
+	peers    *peers.Service
+	router   router.Router
+	observer observer.Observer
+	scope    tally.Scope
 }
 
 // Bind implements kernel.Service.
@@ -59,6 +61,9 @@
 		return err
 	}
 	s.scope = m.Scope().SubScope("handoff")
+	if s.observer, err = observer.Find(dir); err != nil {
+		return err
+	}
 	s.router, err = router.Find(dir)
 	return err
 }
@@ -85,7 +90,7 @@
 	var tried []string
 	var last *request.Failure
 	for n := 0; n < maxAttempts; n++ {
-		inst, err := s.router.Choose(ctx, router.Query{Service: rt.Service, Exclude: tried})
+		inst, err := s.router.Choose(ctx, router.Query{Service: rt.Service, Idempotent: rt.Idempotent, Exclude: tried})
 		if err != nil {
 			return nil, s.noInstance(last, err)
 		}
--- /dev/null
+++ b/lib/service/handoff/observe.go
@@ -0,0 +1,57 @@
+package handoff
+
+import (
+	"encoding/binary"
+	"net/http"
+	"time"
+
+	"cassiarack.example/lib/decision/health"
+	"cassiarack.example/lib/request"
+	"cassiarack.example/lib/wire"
+)
+
+func (a *attempt) observe(now time.Time, k health.Kind) {
+	a.s.observer.Observe(now, health.Observation{Service: a.inst.Service.Name, Instance: a.inst.Name, VM: a.inst.VM.Name,
+		Route: a.route.Name(a.req.Method), Source: health.SourceEntry, Kind: k, ID: binary.LittleEndian.Uint64(a.id[:]),
+		Time: now.Sub(a.reserved)})
+}
+
+// observeReserved records whether the gate answered the reserve. A caller that
+// went away says nothing about the gate.
+func (a *attempt) observeReserved(err error) {
+	now := time.Now()
+	switch {
+	case a.ctx.Err() != nil:
+	case err != nil:
+		a.observe(now, health.Silent)
+	default:
+		a.reserved = now
+		a.observe(now, health.Started)
+	}
+}
+
+// observeRefused ends the observation of a reserve that the gate refused: the
+// gate answered and the backend server did nothing.
+func (a *attempt) observeRefused() { a.observe(time.Now(), health.Ended) }
+
+// observeHead records the first message after the grant, or its absence.
+func (a *attempt) observeHead(down *wire.Down, err error) {
+	now := time.Now()
+	switch {
+	case a.ctx.Err() != nil:
+		a.observe(now, health.Ended)
+	case err != nil:
+		a.observe(now, health.Silent)
+	case down.GetHead() != nil && down.GetHead().GetStatus() < http.StatusInternalServerError:
+		a.observe(now, health.Answered)
+	case down.GetHead() != nil, serverFailed(down.GetFailed()):
+		a.observe(now, health.Failed)
+	default:
+		a.observe(now, health.Ended)
+	}
+}
+
+func serverFailed(f *wire.Failed) bool {
+	r := wire.FromReason(f.GetReason())
+	return f != nil && (r == request.ReasonBackendLost || r == request.ReasonConnect)
+}
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -13,6 +13,7 @@
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/ejection"
 )
 
 // ringSize bounds the questions and reports that wait for the duty.
@@ -21,6 +22,8 @@
 // Query asks for an instance.
 type Query struct {
 	Service *config.Service
+	// Idempotent requests may go to instances that return on trial.
+	Idempotent bool
 	// Exclude holds the instances that were tried before.
 	Exclude []string
 }
@@ -59,6 +62,7 @@
 	// Random is the random source.
 	Random *rand.Rand
 
+	ejection *ejection.Service
 	commands *ring.Ring[command]
 	chooser  choice.Chooser[P]
 	picture  map[string]*picture
@@ -82,7 +86,11 @@
 }
 
 // Bind implements kernel.Service.
-func (s *Service[P]) Bind(*kernel.Directory) error {
+func (s *Service[P]) Bind(dir *kernel.Directory) error {
+	var err error
+	if s.ejection, err = kernel.Find[*ejection.Service](dir, service.Ejection); err != nil {
+		return err
+	}
 	s.commands = ring.New[command](ringSize)
 	s.chooser = choice.Chooser[P]{Policy: s.Policy, Random: s.Random}
 	s.picture = make(map[string]*picture)
@@ -127,14 +135,14 @@
 	case c.choose != nil:
 		c.choose.Reply(s.choose(now, c.choose.Query))
 	case c.explain != nil:
-		c.explain.Reply(s.candidates(c.explain.Query))
+		c.explain.Reply(s.candidates(now, c.explain.Query))
 	case c.report != nil:
 		s.record(now, *c.report)
 	}
 }
 
 func (s *Service[P]) choose(now time.Time, q Query) chosen {
-	c, err := s.chooser.Choose(now, q.Service.Name, s.candidates(q))
+	c, err := s.chooser.Choose(now, q.Service.Name, s.candidates(now, q))
 	if err != nil {
 		return chosen{err: err}
 	}
@@ -144,7 +152,7 @@
 }
 
 // candidates returns the instances that may get the request of a query.
-func (s *Service[P]) candidates(q Query) []choice.Candidate {
+func (s *Service[P]) candidates(now time.Time, q Query) []choice.Candidate {
 	cs := make([]choice.Candidate, 0, len(q.Service.Instances))
 	for _, i := range q.Service.Instances {
 		if i.Leaving || slices.Contains(q.Exclude, i.Name) {
@@ -152,6 +160,7 @@
 		}
 		cs = append(cs, s.candidate(i))
 	}
+	s.weigh(now, q, cs)
 	return cs
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -13,16 +13,19 @@
 	"github.com/charmbracelet/log"
 
 	"cassiarack.example/lib/decision/choice"
+	"cassiarack.example/lib/decision/health"
 	"cassiarack.example/lib/input/settings"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/platform"
 	"cassiarack.example/lib/service"
 	"cassiarack.example/lib/service/admin"
 	"cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/ejection"
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/lib/service/gate"
 	"cassiarack.example/lib/service/handoff"
 	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/observer"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/reader"
 	"cassiarack.example/lib/service/router"
@@ -107,18 +110,30 @@
 			Service: &reader.Service{VM: s.Name, DataCentre: s.DataCentre, Random: n.random(),
 				Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
 		},
+		{
+			Name:    service.Ejection,
+			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Service: &ejection.Service{VM: s.Name, Incarnation: n.incarnation, Random: n.random(), Log: n.log("ejection")},
+		},
+		{
+			Name:  service.Observer,
+			Needs: []string{service.Config, service.Peers, service.Metrics, service.Ejection},
+			Service: &observer.Service[health.SequentialState, health.Sequential]{Policy: health.DefaultSequential, VM: s.Name,
+				Log: n.log("observer")},
+		},
 		{
 			Name:    service.Router,
+			Needs:   []string{service.Ejection},
 			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: n.random()},
 		},
 		{
 			Name:    service.Gate,
-			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Observer},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
 		{
 			Name:    service.Handoff,
-			Needs:   []string{service.Config, service.Peers, service.Router, service.Metrics},
+			Needs:   []string{service.Config, service.Peers, service.Router, service.Metrics, service.Observer},
 			Service: &handoff.Service{Log: n.log("handoff")},
 		},
 		{
@@ -129,7 +144,7 @@
 		},
 		{
 			Name:  service.Admin,
-			Needs: []string{service.Config, service.Metrics, service.Gate, service.Peers, service.Router},
+			Needs: []string{service.Config, service.Metrics, service.Gate, service.Peers, service.Router, service.Ejection},
 			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
 				Log: n.log("admin")},
 		},
--- /dev/null
+++ b/standin/proof/ejection_test.go
@@ -0,0 +1,179 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/standin/backend"
+	"cassiarack.example/standin/fleet"
+)
+
+// six has a service of six instances, whose floor of four leaves two ejections.
+var six = fleet.Deployment{
+	Name:        "six",
+	Region:      "north",
+	DataCentres: []string{"north-1", "north-2", "north-3"},
+	Services: []fleet.Service{
+		{Name: "quotes", Instances: 6, Slots: 3, Connections: 400, ServiceTime: 2 * time.Millisecond},
+	},
+}
+
+// stateTimeout is generous, as CI machines may be busy.
+const stateTimeout = 90 * time.Second
+
+// load sends reads to all nodes in turn until the test ends, and counts the
+// answers with an error.
+func load(t *testing.T, f *fleet.Fleet, workers int) (sent, failed *atomic.Int64) {
+	t.Helper()
+	sent, failed = &atomic.Int64{}, &atomic.Int64{}
+	ctx, cancel := context.WithCancel(t.Context())
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}, Timeout: 2 * time.Second}
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for i := w; ctx.Err() == nil; i++ {
+				url := fmt.Sprintf("http://%v/quotes/list", f.VMs[i%len(f.VMs)].Callers)
+				sent.Add(1)
+				if !get(ctx, client, url) && ctx.Err() == nil {
+					failed.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	t.Cleanup(func() { cancel(); wg.Wait(); client.CloseIdleConnections() })
+	return sent, failed
+}
+
+func get(ctx context.Context, client *http.Client, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err == nil && res.StatusCode < http.StatusInternalServerError
+}
+
+// decisions is the part of /decisions that the tests read.
+type decisions struct {
+	Instances map[string]struct {
+		Ejected bool    `json:"ejected"`
+		Weight  float64 `json:"weight"`
+	} `json:"instances"`
+	Decisions []struct {
+		Instance string `json:"instance"`
+		What     string `json:"what"`
+		Reason   string `json:"reason"`
+	} `json:"decisions"`
+}
+
+func readDecisions(t *testing.T, v *fleet.VM) decisions {
+	t.Helper()
+	var d decisions
+	res, err := http.Get("http://" + v.Admin.String() + "/decisions")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if err := json.NewDecoder(res.Body).Decode(&d); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// ejections counts the ejected instances and tells whether an ejection was
+// refused with a reason.
+func ejections(d decisions) (out int, refused bool) {
+	for _, x := range d.Instances {
+		if x.Ejected {
+			out++
+		}
+	}
+	for _, x := range d.Decisions {
+		refused = refused || x.What == "refused" && strings.TrimSpace(x.Reason) != ""
+	}
+	return out, refused
+}
+
+// waitFor polls the nodes until the state holds at all of them.
+func waitFor(t *testing.T, f *fleet.Fleet, what string, holds func(decisions) bool) {
+	t.Helper()
+	for end := time.Now().Add(stateTimeout); ; time.Sleep(50 * time.Millisecond) {
+		n := 0
+		for _, v := range f.VMs {
+			if holds(readDecisions(t, v)) {
+				n++
+			}
+		}
+		if n == len(f.VMs) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no state in time: %s holds at %d of %d nodes", what, n, len(f.VMs))
+		}
+	}
+}
+
+// TestEjection guards against a gray backend server that keeps its requests, one
+// that does not return after its repair, and ejections below the floor.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	f := start(t, six, "")
+	sent, _ := load(t, f, 12)
+	for sent.Load() < 3000 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, v := range f.VMs {
+		for _, x := range readDecisions(t, v).Decisions {
+			is.True(x.What != "ejected") // no ejection of a healthy backend server
+		}
+	}
+
+	gray := f.VMs[2]
+	began := time.Now()
+	gray.Server.SetFault(backend.Fault{ErrorShare: 0.5})
+	waitFor(t, f, "ejected", func(d decisions) bool { return d.Instances[gray.Name].Ejected })
+	t.Logf("ejected at all nodes after %v", time.Since(began).Round(10*time.Millisecond))
+	gray.Server.SetFault(backend.Fault{})
+	waitFor(t, f, "returned", func(d decisions) bool {
+		x, marked := d.Instances[gray.Name]
+		return !marked || x.Weight == 1
+	})
+	t.Logf("returned after %v", time.Since(began).Round(10*time.Millisecond))
+
+	// Three of six turn gray; only two tokens exist.
+	for _, v := range f.VMs[:3] {
+		v.Server.SetFault(backend.Fault{ErrorShare: 0.5})
+	}
+	most, refused := 0, false
+	for end := time.Now().Add(stateTimeout); time.Now().Before(end) && (most < 2 || !refused); time.Sleep(50 * time.Millisecond) {
+		for _, v := range f.VMs {
+			n, r := ejections(readDecisions(t, v))
+			most, refused = max(most, n), refused || r
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, v := range f.VMs {
+			n, _ := ejections(readDecisions(t, v))
+			most = max(most, n)
+		}
+	}
+	t.Logf("at most %d ejected at one node while three of six are gray", most)
+	is.Equal(most, 2) // both tokens are spent, and the floor of four instances holds
+	is.True(refused)  // the reason is shown to operators
+}
