Compare with most siblings instead of their mean

In faults of a whole service the first instance to reach the threshold was still ejected at times.

Change: an instance is judged by itself; the fault is one of the service when half of the other instances stand out.

--- a/lib/decision/health/baseline.go
+++ b/lib/decision/health/baseline.go
@@ -25,7 +25,7 @@
 const (
 	maxErrorRatio = 5
 	maxSlowRatio  = 4
-	maxHangRatio  = 7
+	maxHangRatio  = 9
 	minSlowRatio  = -2
 )
 
@@ -35,14 +35,14 @@
 	// keptWeight of observations is never forgotten, so that a pause of the
 	// traffic does not lose the usual times.
 	keptWeight = 400
-	// minWeight of observations is needed before times are judged. The ratios
+	// minWeight of observations is needed before times are judged. The ratios of Slow
 	// reach half of their size at halfTrust, as few observations give the rare
 	// times only roughly.
 	minWeight = 40
-	halfTrust = 100
+	halfTrust = 50
 	// tailWeight is the pseudo weight of each bin, which stands for times that
 	// were not seen yet.
-	tailWeight = 0.01
+	tailWeight = 0.005
 	// Prior of the share of errors: 0.05 of 50, and never below minErrorShare.
 	priorErrors   = 0.05
 	priorAnswers  = 50
@@ -142,7 +142,7 @@
 		p1 = (1-slowMixture)*p1 + slowMixture/bins
 		r.table.slow[i] = trust * clamp(math.Log(p1/p[i]), minSlowRatio, maxSlowRatio)
 		r.table.slowRunning[i] = trust * clamp(math.Log(s1/s[i]), 0, maxSlowRatio)
-		r.table.hangRunning[i] = trust * clamp(math.Log((hangShare+(1-hangShare)*s[i])/s[i]), 0, maxHangRatio)
+		r.table.hangRunning[i] = clamp(math.Log((hangShare+(1-hangShare)*s[i])/s[i]), 0, maxHangRatio)
 	}
 }
 
--- a/lib/decision/health/day_test.go
+++ b/lib/decision/health/day_test.go
@@ -52,11 +52,15 @@
 }
 
 // TestFalseEjections guards against ejections of healthy instances.
-// CASSIARACK_LONG=1 runs a whole day for each deployment and rate.
+// CASSIARACK_LONG=1 runs a whole day for each deployment and rate, and
+// CASSIARACK_DAY another length, such as 2h.
 func TestFalseEjections(t *testing.T) {
 	length := 3 * time.Minute
 	if long() {
 		length = 24 * time.Hour
+		if d, err := time.ParseDuration(os.Getenv("CASSIARACK_DAY")); err == nil {
+			length = d
+		}
 	}
 	var b strings.Builder
 	for _, d := range []struct {
--- a/lib/decision/health/detector.go
+++ b/lib/decision/health/detector.go
@@ -47,8 +47,11 @@
 type service struct {
 	routes map[string]*route
 	errors errorCounts
-	// seen sums the evidence of the entry about all instances.
-	seen Siblings
+	// seen counts the observations of the entry.
+	seen int
+	// judged and standing count the instances with recent evidence and those of
+	// them that stand out, at the last judgement.
+	judged, standing int
 }
 
 // instance is what was observed of an instance.
@@ -57,8 +60,8 @@
 	service  *service
 	label    string
 	tracks   [sources]track[S]
-	// seen is the part of the service's sum that this instance contributed.
-	seen Siblings
+	// seen is the part of the service's count that this instance contributed.
+	seen int
 	link link
 	cold time.Time
 }
@@ -77,8 +80,8 @@
 	id      uint64
 	route   *route
 	started time.Time
-	// siblings is the evidence about the siblings at the start.
-	siblings Siblings
+	// siblings is the number of observations of siblings up to the start.
+	siblings int
 }
 
 // Observe records an observation.
@@ -95,7 +98,7 @@
 	case Started:
 		if len(t.running) < maxRunning && !i.isCold(now) {
 			t.running = append(t.running, running{id: o.ID, route: r, started: now,
-				siblings: i.service.seen.minus(i.seen)})
+				siblings: i.service.seen - i.seen})
 		}
 	case Answered, Failed:
 		// A request that started while the instance was cold was not recorded.
@@ -151,11 +154,10 @@
 
 func (d *Detector[S, P]) add(now time.Time, i *instance[S], t *track[S], e Evidence, from Source) {
 	if from == SourceEntry {
-		one := Siblings{Samples: 1, Ratios: e.Ratios}
-		i.seen = i.seen.plus(one)
-		i.service.seen = i.service.seen.plus(one)
+		i.seen++
+		i.service.seen++
 	}
-	d.Policy.Add(&t.state, now, e, i.service.seen.minus(i.seen))
+	d.Policy.Add(&t.state, now, e, i.service.seen-i.seen)
 }
 
 // evidence is what the age of a running request tells.
@@ -181,11 +183,16 @@
 	if self {
 		return links
 	}
-	running := d.siblingsRunning(now)
+	for _, s := range d.services {
+		s.judged, s.standing = 0, 0
+	}
+	for _, i := range d.order {
+		d.score(now, i)
+	}
 	out := links
 	for _, i := range d.order {
 		for from := range i.tracks {
-			if v, ok := d.judge(now, i, Source(from), running[i.service]); ok {
+			if v, ok := d.verdict(now, i, Source(from)); ok {
 				out = append(out, v)
 			}
 		}
@@ -194,76 +201,72 @@
 	return out
 }
 
-// siblingsRunning sums the evidence of the entry's running requests for each
-// service. A service whose requests all hang shows in no finished request.
-func (d *Detector[S, P]) siblingsRunning(now time.Time) map[*service]Siblings {
-	var out map[*service]Siblings
-	for _, i := range d.order {
-		t := &i.tracks[SourceEntry]
-		if len(t.running) == 0 {
-			continue
-		}
-		if out == nil {
-			out = make(map[*service]Siblings)
+// evidence appends the bad ones of the running requests.
+func (t *track[S]) evidence(now time.Time, out []Evidence) []Evidence {
+	for _, x := range t.running {
+		if e := x.evidence(now); e.Bad {
+			out = append(out, e)
 		}
-		out[i.service] = out[i.service].plus(sumOf(t.evidence(now, d.scratch[:0])))
 	}
 	return out
 }
 
-func sumOf(es []Evidence) Siblings {
-	var s Siblings
-	for _, e := range es {
-		if e.Bad {
-			s.Samples++
-			s.Ratios.add(e.Ratios)
+// score judges an instance by itself and counts it among its service.
+func (d *Detector[S, P]) score(now time.Time, i *instance[S]) {
+	for from := range i.tracks {
+		t := &i.tracks[from]
+		if len(t.running) == 0 && (t.last.IsZero() || now.Sub(t.last) > recent) {
+			t.score = Score{}
+			continue
+		}
+		d.scratch = t.evidence(now, d.scratch[:0])
+		t.score = d.Policy.Score(&t.state, now, d.scratch, i.service.seen-i.seen)
+		if Source(from) == SourceEntry {
+			i.service.judged++
+			if t.score.Value >= crowdScore {
+				i.service.standing++
+			}
 		}
 	}
-	return s
 }
 
-// evidence appends the bad ones of the running requests.
-func (t *track[S]) evidence(now time.Time, out []Evidence) []Evidence {
-	for _, x := range t.running {
-		if e := x.evidence(now); e.Bad {
-			out = append(out, e)
+// isCommon reports whether so many of the other instances stand out that the
+// fault is one of the service. It compares with most instances and not with the
+// mean, as several instances may be faulty at once.
+func (i *instance[S]) isCommon() bool {
+	others, standing := i.service.judged, i.service.standing
+	if e := i.tracks[SourceEntry].score; !e.Since.IsZero() {
+		others--
+		if e.Value >= crowdScore {
+			standing--
 		}
 	}
-	return out
+	return standing > 0 && crowdPart*standing >= others
 }
 
-func (d *Detector[S, P]) judge(now time.Time, i *instance[S], from Source, running Siblings) (Verdict, bool) {
+func (d *Detector[S, P]) verdict(now time.Time, i *instance[S], from Source) (Verdict, bool) {
 	t := &i.tracks[from]
-	if len(t.running) == 0 && (t.last.IsZero() || now.Sub(t.last) > recent) {
-		t.score = Score{}
-		return Verdict{}, false
-	}
-	d.scratch = t.evidence(now, d.scratch[:0])
-	siblings := i.service.seen.minus(i.seen).plus(running)
-	if from == SourceEntry {
-		siblings = siblings.minus(sumOf(d.scratch))
-	} else {
-		siblings = siblings.minus(sumOf(i.tracks[SourceEntry].evidence(now, nil)))
-	}
-	t.score = d.Policy.Score(&t.state, now, d.scratch, siblings)
-	if max(t.score.Value, t.score.Raw) < SuspectScore {
+	s := t.score
+	if s.Value < SuspectScore {
 		return Verdict{}, false
 	}
-	s := t.score
-	if s.Raw >= 1 && s.Value < commonSum {
-		d.Policy.Common(&t.state, now)
+	v := Verdict{Service: i.label, Instance: i.name, VM: i.vm, Source: from, Cause: i.cause(now, s),
+		Hypothesis: s.Hypothesis, Samples: s.Samples, Bad: s.Bad, Score: s.Value, Raw: s.Value,
+		Confidence: confidence(s.LogOdds), Siblings: s.Siblings, Since: s.Since}
+	if i.isCommon() {
+		v.Cause, v.Score = CauseService, 0
+		t.score.Value = 0
+		if s.Value >= 1 {
+			d.Policy.Common(&t.state, now)
+		}
 	}
-	return Verdict{Service: i.label, Instance: i.name, VM: i.vm, Source: from, Cause: i.cause(now, s),
-		Hypothesis: s.Hypothesis, Samples: s.Samples, Bad: s.Bad, Score: s.Value, Raw: s.Raw,
-		Confidence: confidence(s.LogOdds), Siblings: s.Siblings, Since: s.Since}, true
+	return v, true
 }
 
 func (i *instance[S]) cause(now time.Time, s Score) Cause {
 	switch {
 	case i.isCold(now):
 		return CauseCold
-	case s.Raw >= 1 && s.Value < 1, s.Value < SuspectScore:
-		return CauseService
 	case s.Value < 1 && s.Bad <= stragglers && s.Hypothesis != Errors:
 		return CauseStraggler
 	default:
--- a/lib/decision/health/jury.go
+++ b/lib/decision/health/jury.go
@@ -248,7 +248,7 @@
 	for _, i := range d.order {
 		t := &i.tracks[SourceGate]
 		if i.label == service && now.Sub(t.last) <= opinionAge {
-			x := Standing{Instance: i.name, Raw: t.score.Raw}
+			x := Standing{Instance: i.name, Raw: t.score.Value}
 			if t.failed.After(since) {
 				x.Raw = max(x.Raw, crowdScore)
 			}
--- a/lib/decision/health/measure_test.go
+++ b/lib/decision/health/measure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -68,11 +69,15 @@
 }
 
 // TestDetectionTime guards against a detector that misses gray failures or takes
-// longer than its aim. CASSIARACK_LONG=1 runs 200 trials of each fault.
+// longer than its aim. CASSIARACK_LONG=1 runs 200 trials of each fault, or
+// CASSIARACK_TRIALS, and the baseline policy.
 func TestDetectionTime(t *testing.T) {
 	trials := 4
 	if long() {
 		trials = 200
+		if n, err := strconv.Atoi(os.Getenv("CASSIARACK_TRIALS")); err == nil {
+			trials = n
+		}
 	}
 	var b strings.Builder
 	for _, d := range []struct {
--- a/lib/decision/health/observation.go
+++ b/lib/decision/health/observation.go
@@ -70,12 +70,6 @@
 // Ratios holds the log likelihood ratio of an observation for each hypothesis.
 type Ratios [hypotheses]float64
 
-func (r *Ratios) add(o Ratios) {
-	for i := range r {
-		r[i] += o[i]
-	}
-}
-
 // Cause tells where the fault is.
 type Cause string
 
--- a/lib/decision/health/policy.go
+++ b/lib/decision/health/policy.go
@@ -13,31 +13,10 @@
 	Bad bool
 	// Failed is set for an error.
 	Failed bool
-	// Since and Siblings are the start of a running request and the evidence
-	// about the siblings at that time.
+	// Since and Siblings are the start of a running request and the observations
+	// of siblings up to then.
 	Since    time.Time
-	Siblings Siblings
-}
-
-// Siblings is the sum of the evidence about the siblings since the start of the
-// detector.
-type Siblings struct {
-	Samples float64
-	Ratios  Ratios
-}
-
-func (s Siblings) minus(o Siblings) Siblings {
-	s.Samples -= o.Samples
-	for i := range s.Ratios {
-		s.Ratios[i] -= o.Ratios[i]
-	}
-	return s
-}
-
-func (s Siblings) plus(o Siblings) Siblings {
-	s.Samples += o.Samples
-	s.Ratios.add(o.Ratios)
-	return s
+	Siblings int
 }
 
 // Score is the evidence against an instance.
@@ -46,8 +25,6 @@
 	Samples, Bad int
 	// Value is a multiple of the threshold.
 	Value float64
-	// Raw is Value without the comparison with the siblings.
-	Raw float64
 	// Siblings counts the observations of siblings since Since.
 	Siblings int
 	Since    time.Time
@@ -58,9 +35,10 @@
 // Policy turns evidence into a score. S is its state for one instance.
 type Policy[S any] interface {
 	// Add records a finished request.
-	Add(s *S, now time.Time, e Evidence, siblings Siblings)
+	Add(s *S, now time.Time, e Evidence, siblings int)
 	// Score judges the finished requests together with those that still run.
-	Score(s *S, now time.Time, running []Evidence, siblings Siblings) Score
+	// Siblings counts the observations of siblings since the start.
+	Score(s *S, now time.Time, running []Evidence, siblings int) Score
 	// Common discounts the evidence so far, as the whole service shares it.
 	Common(s *S, now time.Time)
 }
@@ -89,12 +67,6 @@
 	minThreshold = 12
 	// rateMemory is the half-life of the estimate of the rate.
 	rateMemory = 30 * time.Second
-	// siblingFactor is how far an instance must exceed its siblings: evidence
-	// that is not this many times stronger than theirs counts as common.
-	siblingFactor = 2
-	// siblingPrior is the pseudo number of siblings' observations without
-	// evidence.
-	siblingPrior = 3
 	// episodePart of the threshold makes a rise of the sum an episode, which is
 	// remembered for episodeMemory. Each of the last two lowers the threshold by
 	// episodeDiscount, so that an instance that flaps is found faster each time.
@@ -117,7 +89,7 @@
 	value, peak  float64
 	samples, bad int
 	since        time.Time
-	siblings     Siblings
+	siblings     int
 }
 
 // SequentialState is the state of Sequential for one instance.
@@ -130,7 +102,7 @@
 }
 
 // Add implements Policy.
-func (p Sequential) Add(s *SequentialState, now time.Time, e Evidence, siblings Siblings) {
+func (p Sequential) Add(s *SequentialState, now time.Time, e Evidence, siblings int) {
 	s.count = 1 + s.count*math.Exp2(-float64(now.Sub(s.last))/float64(rateMemory))
 	fade := math.Exp2(-float64(now.Sub(s.last)) / float64(sumMemory))
 	s.last = now
@@ -183,19 +155,19 @@
 }
 
 // Score implements Policy.
-func (p Sequential) Score(s *SequentialState, now time.Time, running []Evidence, siblings Siblings) Score {
+func (p Sequential) Score(s *SequentialState, now time.Time, running []Evidence, siblings int) Score {
 	threshold := p.threshold(s, now)
 	var best Score
 	for h := range s.sums {
 		c := p.hypothesis(Hypothesis(h), s.sums[h], now, running, siblings, threshold)
-		if c.Value > best.Value || best.Since.IsZero() || (c.Value == best.Value && c.Raw > best.Raw) {
+		if c.Value > best.Value || best.Since.IsZero() {
 			best = c
 		}
 	}
 	return best
 }
 
-func (p Sequential) hypothesis(h Hypothesis, x sum, now time.Time, running []Evidence, siblings Siblings,
+func (p Sequential) hypothesis(h Hypothesis, x sum, now time.Time, running []Evidence, siblings int,
 	threshold float64) Score {
 	if x.value == 0 {
 		x.since, x.siblings = now, siblings
@@ -210,14 +182,10 @@
 			x.bad++
 		}
 	}
-	common := siblings.minus(x.siblings)
-	mean := max(0, common.Ratios[h]/(common.Samples+siblingPrior))
-	value := max(0, x.value-siblingFactor*mean*float64(x.samples))
-	score := Score{Hypothesis: h, Samples: x.samples, Bad: x.bad, Value: value / threshold, Raw: x.value / threshold,
-		Siblings: int(common.Samples), Since: x.since, LogOdds: value}
+	score := Score{Hypothesis: h, Samples: x.samples, Bad: x.bad, Value: x.value / threshold,
+		Siblings: siblings - x.siblings, Since: x.since, LogOdds: x.value}
 	if x.bad < p.MinBad {
 		score.Value = min(score.Value, belowOne)
-		score.Raw = min(score.Raw, belowOne)
 	}
 	return score
 }
@@ -238,7 +206,7 @@
 }
 
 // Add implements Policy.
-func (p Consecutive) Add(s *ConsecutiveState, now time.Time, e Evidence, _ Siblings) {
+func (p Consecutive) Add(s *ConsecutiveState, now time.Time, e Evidence, _ int) {
 	if !e.Failed {
 		s.errors = 0
 		return
@@ -250,9 +218,9 @@
 }
 
 // Score implements Policy.
-func (p Consecutive) Score(s *ConsecutiveState, _ time.Time, _ []Evidence, _ Siblings) Score {
+func (p Consecutive) Score(s *ConsecutiveState, _ time.Time, _ []Evidence, _ int) Score {
 	v := float64(s.errors) / float64(p.Errors)
-	return Score{Hypothesis: Errors, Samples: s.errors, Bad: s.errors, Value: v, Raw: v, Since: s.since}
+	return Score{Hypothesis: Errors, Samples: s.errors, Bad: s.errors, Value: v, Since: s.since}
 }
 
 // Common implements Policy.
