--- a/lib/decision/health/detector.go
+++ b/lib/decision/health/detector.go
@@ -73,6 +73,8 @@
 	// last and failed are the times of the last observation and the last error.
 	last, failed time.Time
 	score        Score
+	// alone is the score without a comparison with the siblings.
+	alone float64
 }
 
 // running is a request without an answer.
@@ -216,11 +218,12 @@
 	for from := range i.tracks {
 		t := &i.tracks[from]
 		if len(t.running) == 0 && (t.last.IsZero() || now.Sub(t.last) > recent) {
-			t.score = Score{}
+			t.score, t.alone = Score{}, 0
 			continue
 		}
 		d.scratch = t.evidence(now, d.scratch[:0])
 		t.score = d.Policy.Score(&t.state, now, d.scratch, i.service.seen-i.seen)
+		t.alone = t.score.Value
 		if Source(from) == SourceEntry {
 			i.service.judged++
 			if t.score.Value >= crowdScore {
--- a/lib/service/admin/explain.go
+++ b/lib/service/admin/explain.go
@@ -24,8 +24,7 @@
 	DataCentre  string  `json:"dataCentre"`
 	Weight      float64 `json:"weight"`
 	Outstanding int     `json:"outstanding"`
-	Running     int     `json:"running"`
-	Waiting     int     `json:"waiting"`
+	Others      int     `json:"others"`
 	Reason      string  `json:"reason,omitempty"`
 }
 
@@ -48,18 +47,14 @@
 		return
 	}
 	out := Explanation{Service: rt.Service.Name, Prefix: rt.Prefix, Idempotent: rt.Idempotent}
-	candidates, err := s.router.Explain(r.Context(), router.Query{Service: rt.Service})
+	candidates, err := s.router.Explain(r.Context(), router.Query{Service: rt.Service, Idempotent: rt.Idempotent})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	for _, x := range candidates {
-		dc := ""
-		if i := c.Instances[x.Instance]; i != nil {
-			dc = i.VM.DataCentre
-		}
-		out.Candidates = append(out.Candidates, Candidate{Instance: x.Instance, DataCentre: dc, Weight: x.Weight,
-			Outstanding: x.Outstanding, Running: x.Running, Waiting: x.Waiting})
+		out.Candidates = append(out.Candidates, Candidate{Instance: x.Instance, DataCentre: x.DataCentre,
+			Weight: x.Weight, Outstanding: x.Outstanding, Others: x.Others})
 	}
 	s.writeJSON(w, out)
 }
--- a/lib/service/front/upload.go
+++ b/lib/service/front/upload.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cassiarack.example/lib/request"
@@ -20,18 +21,27 @@
 	pieces  *request.Pieces
 	// done is closed when the duty ended; it is nil before open.
 	done chan struct{}
+	// ended is set when the body needs no more reads.
+	ended atomic.Bool
 }
 
 func newUpload(w http.ResponseWriter, r *http.Request) *upload {
 	ctx, cancel := context.WithCancel(r.Context())
-	control := http.NewResponseController(w)
-	// Without full duplex, net/http discards the rest of the request's body when
-	// the answer begins. HTTP/2 is always full duplex and reports an error.
-	_ = control.EnableFullDuplex()
-	return &upload{control: control, r: r, ctx: ctx, cancel: cancel,
+	return &upload{control: http.NewResponseController(w), r: r, ctx: ctx, cancel: cancel,
 		pieces: ring.New[request.Piece](request.PiecesInFlight)}
 }
 
+// fullDuplex lets the answer begin while the body is read. Without it, net/http
+// discards the rest of the body when the answer begins. It is not used for a
+// refusal before open: net/http panics on the next request of the connection if
+// a handler in full duplex returns without having read the body. HTTP/2 is
+// always full duplex and reports an error.
+func (u *upload) fullDuplex(refused bool) {
+	if u != nil && (!refused || u.done != nil) {
+		_ = u.control.EnableFullDuplex()
+	}
+}
+
 // open starts to read the body. A caller that sent "Expect: 100-continue" is
 // told to continue only then.
 func (u *upload) open() *request.Pieces {
@@ -44,6 +54,9 @@
 	defer close(u.done)
 	for {
 		p := u.read()
+		if p.End || p.Err != nil {
+			u.ended.Store(true)
+		}
 		if err := u.pieces.Put(u.ctx, p); err != nil || p.End || p.Err != nil {
 			return
 		}
@@ -72,10 +85,12 @@
 	if u.done == nil {
 		return
 	}
-	select {
-	case <-u.done:
+	if u.ended.Load() {
+		// At the end of the body net/http begins to read for the next request. A
+		// deadline would fail that read and cancel all later requests of the
+		// connection.
+		<-u.done
 		return
-	default:
 	}
 	// A connection that does not support deadlines ends the read when it closes.
 	_ = u.control.SetReadDeadline(time.Now())
--- a/lib/service/gate/gate.go
+++ b/lib/service/gate/gate.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/decision/handover"
 	"cassiarack.example/lib/decision/slot"
@@ -50,13 +51,20 @@
 	desks    map[string]*desk
 	backends *backends
 	inFlight inFlight
+	life     context.Context
+	endLife  context.CancelFunc
+	// leaving is set while the node stops. It belongs to the duty.
+	leaving bool
 }
 
 // desk is the state of one instance, owned by the duty.
 type desk struct {
 	instance *config.Instance
-	slots    slot.Gate[handover.Attempt]
+	slots    slots
+	usual    choice.Lengths
 	waiting  map[handover.Attempt]*admission
+
+	open, running, queued tally.Gauge
 }
 
 // Bind implements kernel.Service.
@@ -78,7 +86,8 @@
 	}
 	s.scope = m.Scope().SubScope("gate")
 	s.commands = ring.New[command](ringSize)
-	s.grants = handover.Gate{Incarnation: s.Incarnation, Hold: hold, Memory: memory}
+	s.grants = handover.Gate{Incarnation: s.Incarnation, Hold: hold, Memory: memory, MaxGap: maxGap}
+	s.keepLife()
 	s.desks = make(map[string]*desk)
 	s.backends = newBackends()
 	return wire.DRPCRegisterHandover(p.Mux(), s)
@@ -87,22 +96,23 @@
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
 	defer s.backends.close()
+	defer s.endLife()
 	d := ring.Duty[command]{
 		Ring:     s.commands,
 		Interval: tick,
-		Handle:   func(now time.Time, c command) { c.apply(now, s) },
+		Handle:   func(now time.Time, c command) { s.beat(now); c.apply(now, s) },
 		Tick:     s.tick,
+		Idle:     s.idle,
 	}
 	return d.Run(ctx)
 }
 
-// Drain implements kernel.Drainer: new work is refused, work in flight ends.
-func (s *Service) Drain(ctx context.Context) error {
-	if err := s.commands.Put(ctx, leave{}); err != nil {
-		return err
-	}
-	return s.inFlight.wait(ctx)
-}
+// Leave implements kernel.Leaver: new work is refused. The kernel calls it after
+// gossip announced the stop, so that few entries still come.
+func (s *Service) Leave(ctx context.Context) error { return s.commands.Put(ctx, leave{}) }
+
+// Drain implements kernel.Drainer: work in flight ends.
+func (s *Service) Drain(ctx context.Context) error { return s.inFlight.wait(ctx) }
 
 // desk returns the state of an instance of this VM, or nil.
 func (s *Service) desk(name string) *desk {
@@ -116,22 +126,24 @@
 	}
 	d, ok := s.desks[name]
 	if !ok {
-		d = &desk{waiting: make(map[handover.Attempt]*admission)}
+		d = newDesk()
 		s.desks[name] = d
 	}
 	d.instance = i
 	d.slots.Slots = i.Service.Slots
-	d.slots.Leaving = d.slots.Leaving || i.Leaving
+	d.slots.Leaving = s.leaving || i.Leaving
 	return d
 }
 
 func (s *Service) tick(now time.Time) {
+	s.beat(now)
 	for _, a := range s.grants.Expire(now) {
 		s.freeExpired(now, a)
 	}
 	for name, d := range s.desks {
 		s.desk(name)
 		s.settleQueue(now, d, d.slots.Tick(now))
+		s.publish(now, name, d)
 	}
 }
 
@@ -141,7 +153,7 @@
 		if adm, ok := d.waiting[a]; ok {
 			delete(d.waiting, a)
 			adm.expired = true
-			s.settleQueue(now, d, d.slots.Release(now))
+			s.settleQueue(now, d, d.slots.Release(now, a))
 			return
 		}
 	}
@@ -159,29 +171,34 @@
 		if !next.Granted {
 			s.grants.Void(now, next.Item)
 			delete(d.waiting, next.Item)
-			adm.call.Reply(admitted{refusal: next.Refusal, retryAfter: next.RetryAfter, load: d.load()})
+			adm.call.Reply(admitted{refusal: next.Refusal, retryAfter: next.RetryAfter, load: d.load(now)})
 			continue
 		}
 		grant, err := s.grants.Reserve(now, next.Item)
 		if err != nil {
 			delete(d.waiting, next.Item)
-			adm.call.Reply(admitted{err: err, load: d.load()})
-			ds = append(ds, d.slots.Release(now)...)
+			adm.call.Reply(admitted{err: err, load: d.load(now)})
+			ds = append(ds, d.slots.Release(now, next.Item)...)
 			continue
 		}
 		if adm.call.Query.commitNow {
 			err = s.grants.Commit(now, grant)
 			delete(d.waiting, next.Item)
+			if err != nil {
+				ds = append(ds, d.slots.Release(now, next.Item)...)
+			}
 		}
-		adm.call.Reply(admitted{instance: d.instance, grant: grant, err: err, load: d.load()})
+		adm.call.Reply(admitted{instance: d.instance, grant: grant, err: err, load: d.load(now)})
 	}
 }
 
-func (d *desk) load() *wire.Load {
-	return &wire.Load{
-		Slots:   uint32(d.slots.Slots),
-		Running: uint32(d.slots.Running()),
-		Waiting: uint32(d.slots.Waiting()),
-		Leaving: d.slots.Leaving,
+// idle reports whether no request waits for a slot or for its commit, so that
+// nothing can expire.
+func (s *Service) idle() bool {
+	for _, d := range s.desks {
+		if len(d.waiting) > 0 {
+			return false
+		}
 	}
+	return true
 }
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
@@ -19,6 +19,10 @@
 // ringSize bounds the questions and reports that wait for the duty.
 const ringSize = 4096
 
+// undoTimeout bounds the wait for the answer to a choice that is not needed any
+// more. The duty answers within microseconds unless it is stopping.
+const undoTimeout = time.Second
+
 // Query asks for an instance.
 type Query struct {
 	Service *config.Service
@@ -31,6 +35,10 @@
 // Load is the occupancy that a gate reported.
 type Load struct {
 	Running, Waiting int
+	// Open is the number of slots in force.
+	Open int
+	// Leaving is set when the instance takes no new work.
+	Leaving bool
 }
 
 // Report tells the end of an attempt at an instance.
@@ -38,6 +46,11 @@
 	Instance string
 	// Load is the last load of the gate, if one was reported.
 	Load *Load
+	// Route and Ran are the route and the run time of a request that ran.
+	Route string
+	Ran   time.Duration
+	// Cut is set when the run was ended early, so that Ran is a lower bound.
+	Cut bool
 }
 
 // chosen is the answer to a Query.
@@ -49,8 +62,9 @@
 // command is one command to the duty.
 type command struct {
 	choose  *ring.Call[Query, chosen]
-	explain *ring.Call[Query, []choice.Candidate]
+	explain *ring.Call[Query, []Explained]
 	report  *Report
+	budget  *ring.Call[budgetQuery, Terms]
 }
 
 // Service chooses instances with policy P.
@@ -63,14 +77,18 @@
 	Random *rand.Rand
 
 	ejection *ejection.Service
+	members  members
 	commands *ring.Ring[command]
 	chooser  choice.Chooser[P]
 	picture  map[string]*picture
+	lengths  choice.Lengths
+	services map[string]*serviceState
 }
 
 // picture is what the node knows about the load of an instance.
 type picture struct {
 	outstanding int
+	others      int
 	load        Load
 	reported    time.Time
 }
@@ -80,9 +98,15 @@
 	// Choose returns an instance. Each choice must be followed by a Report.
 	Choose(ctx context.Context, q Query) (*config.Instance, error)
 	// Explain returns the candidates of a query without choosing one.
-	Explain(ctx context.Context, q Query) ([]choice.Candidate, error)
+	Explain(ctx context.Context, q Query) ([]Explained, error)
 	// Report tells the end of an attempt.
 	Report(ctx context.Context, r Report) error
+	Budgets
+}
+
+// members is the part of the gossip service that tells the state of a node.
+type members interface {
+	State(vm string) member.State
 }
 
 // Bind implements kernel.Service.
@@ -91,9 +115,13 @@
 	if s.ejection, err = kernel.Find[*ejection.Service](dir, service.Ejection); err != nil {
 		return err
 	}
+	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
+		return err
+	}
 	s.commands = ring.New[command](ringSize)
 	s.chooser = choice.Chooser[P]{Policy: s.Policy, Random: s.Random}
 	s.picture = make(map[string]*picture)
+	s.services = make(map[string]*serviceState)
 	return nil
 }
 
@@ -105,18 +133,21 @@
 	}
 	c, err := call.Wait(ctx)
 	if err != nil {
+		s.undo(ctx, call)
 		return nil, err
 	}
 	return c.instance, c.err
 }
 
-// Explain implements Router.
-func (s *Service[P]) Explain(ctx context.Context, q Query) ([]choice.Candidate, error) {
-	call := ring.NewCall[Query, []choice.Candidate](q)
-	if err := s.commands.Offer(command{explain: &call}); err != nil {
-		return nil, err
+// undo reports a choice whose caller went away before it was made, as each
+// choice counts a request at its instance.
+func (s *Service[P]) undo(ctx context.Context, call ring.Call[Query, chosen]) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), undoTimeout)
+	defer cancel()
+	if c, err := call.Wait(ctx); err == nil && c.instance != nil {
+		// An error means that the duty stopped.
+		_ = s.Report(ctx, Report{Instance: c.instance.Name})
 	}
-	return call.Wait(ctx)
 }
 
 // Report implements Router.
@@ -135,47 +166,49 @@
 	case c.choose != nil:
 		c.choose.Reply(s.choose(now, c.choose.Query))
 	case c.explain != nil:
-		c.explain.Reply(s.candidates(now, c.explain.Query))
+		c.explain.Reply(s.explain(now, c.explain.Query))
 	case c.report != nil:
 		s.record(now, *c.report)
+	case c.budget != nil:
+		c.budget.Reply(s.answer(now, c.budget.Query))
 	}
 }
 
 func (s *Service[P]) choose(now time.Time, q Query) chosen {
-	c, err := s.chooser.Choose(now, q.Service.Name, s.candidates(now, q))
+	cs := s.candidates(now, q)
+	i, err := s.chooser.Choose(now, q.Service.Name, cs)
 	if err != nil {
-		return chosen{err: err}
+		// When no other instance is left, it is more likely that this node does not
+		// hear the others than that all of them are dead.
+		cs.dead = true
+		i, err = s.chooser.Choose(now, q.Service.Name, cs)
+	}
+	if err != nil {
+		cs.lastResort = cs.leastBad()
+		i, err = s.chooser.Choose(now, q.Service.Name, cs)
 	}
-	s.of(c.Instance).outstanding++
-	i := slices.IndexFunc(q.Service.Instances, func(i *config.Instance) bool { return i.Name == c.Instance })
-	return chosen{instance: q.Service.Instances[i]}
-}
-
-// candidates returns the instances that may get the request of a query.
-func (s *Service[P]) candidates(now time.Time, q Query) []choice.Candidate {
-	cs := make([]choice.Candidate, 0, len(q.Service.Instances))
-	for _, i := range q.Service.Instances {
-		if i.Leaving || slices.Contains(q.Exclude, i.Name) {
-			continue
-		}
-		cs = append(cs, s.candidate(i))
+	if err != nil {
+		return chosen{err: err}
 	}
-	s.weigh(now, q, cs)
-	return cs
+	inst := cs.of.instances[i]
+	s.of(inst.Name).outstanding++
+	return chosen{instance: inst}
 }
 
-func (s *Service[P]) candidate(i *config.Instance) choice.Candidate {
+func (s *Service[P]) candidate(now time.Time, i *config.Instance) choice.Candidate {
 	p := s.of(i.Name)
-	return choice.Candidate{
-		Instance:    i.Name,
-		Local:       i.VM.DataCentre == s.DataCentre,
+	c := choice.Candidate{
 		Weight:      1,
 		Slots:       i.Service.Slots,
+		Open:        p.load.Open,
 		Outstanding: p.outstanding,
-		Running:     p.load.Running,
-		Waiting:     p.load.Waiting,
+		Others:      p.others,
 		Reported:    p.reported,
 	}
+	if i.Leaving || p.load.Leaving && now.Sub(p.reported) < leavingMemory {
+		c.Weight = 0
+	}
+	return c
 }
 
 func (s *Service[P]) record(now time.Time, r Report) {
@@ -183,7 +216,9 @@
 	p.outstanding--
 	if r.Load != nil {
 		p.load, p.reported = *r.Load, now
+		p.others = max(0, r.Load.Running+r.Load.Waiting-p.outstanding)
 	}
+	s.observe(now, r)
 }
 
 func (s *Service[P]) of(instance string) *picture {
--- a/node/serve.go
+++ b/node/serve.go
@@ -8,24 +8,31 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/health"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/input/settings"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/platform"
 	"cassiarack.example/lib/service"
 	"cassiarack.example/lib/service/admin"
 	"cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/credentials"
 	"cassiarack.example/lib/service/ejection"
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/lib/service/gate"
+	"cassiarack.example/lib/service/gossip"
 	"cassiarack.example/lib/service/handoff"
+	"cassiarack.example/lib/service/ledger"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/service/observer"
+	"cassiarack.example/lib/service/pause"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/reader"
 	"cassiarack.example/lib/service/router"
@@ -34,6 +41,8 @@
 // listeners are the sockets of a node.
 type listeners struct {
 	callers, fleet, admin net.Listener
+	// datagrams has the address of fleet.
+	datagrams *net.UDPConn
 }
 
 func listen(s *settings.Settings) (*listeners, error) {
@@ -49,6 +58,10 @@
 	l.callers = open("callers", s.Callers)
 	l.fleet = open("other nodes", s.Fleet)
 	l.admin = open("operators", s.Admin)
+	var err error
+	if l.datagrams, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Fleet)); err != nil {
+		errs = append(errs, fmt.Errorf("listen for datagrams: %w", err))
+	}
 	return &l, errors.Join(errs...)
 }
 
@@ -58,6 +71,8 @@
 	listeners   *listeners
 	incarnation uint64
 	level       log.Level
+	// read returns the settings as they are now.
+	read func() (*settings.Settings, error)
 }
 
 // log returns the logger of a part.
@@ -66,8 +81,8 @@
 		TimeFormat: time.RFC3339Nano})
 }
 
-func serve(ctx context.Context, s *settings.Settings, logLevel string) error {
-	level, err := log.ParseLevel(logLevel)
+func serve(ctx context.Context, s *settings.Settings, o *options) error {
+	level, err := log.ParseLevel(o.logLevel)
 	if err != nil {
 		return fmt.Errorf("flag --log-level: %w", err)
 	}
@@ -80,7 +95,8 @@
 	if err != nil {
 		return err
 	}
-	n := &node{settings: s, listeners: l, incarnation: uint64(time.Now().UnixNano()), level: level}
+	n := &node{settings: s, listeners: l, incarnation: uint64(time.Now().UnixNano()), level: level,
+		read: o.settings}
 	k := &kernel.Kernel{Registrations: n.registrations(), Log: n.log("kernel"), DrainTimeout: s.DrainTimeout}
 	n.log("node").Info("Started.", "vm", s.Name, "callers", l.callers.Addr(), "fleet", l.fleet.Addr(),
 		"admin", l.admin.Addr())
@@ -95,18 +111,36 @@
 // registrations lists the services of a node.
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
+	reread := make(chan os.Signal, 1)
+	signal.Notify(reread, syscall.SIGHUP)
 	return []kernel.Registration{
+		{
+			Name:    service.Credentials,
+			Service: &credentials.Service{Read: n.read, Reread: reread, Log: n.log("credentials")},
+		},
+		{
+			Name:  service.Gossip,
+			Needs: []string{service.Config, service.Credentials, service.Metrics, service.Ejection},
+			Service: &gossip.Service{
+				Conn: n.listeners.datagrams,
+				Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
+					Incarnation: n.incarnation},
+				Seeds:  s.Peers,
+				Random: n.random(),
+				Log:    n.log("gossip"),
+			},
+		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
 		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
 		{
 			Name:  service.Config,
 			Needs: []string{service.Peers, service.Metrics},
-			Service: &config.Service{VM: s.Name, DataCentre: s.DataCentre, Asked: s.Peers, Random: n.random(),
+			Service: &config.Service{VM: s.Name, Asked: s.Peers, Random: n.random(),
 				Log: n.log("config")},
 		},
 		{
 			Name:  service.Reader,
-			Needs: []string{service.Config, service.Metrics},
+			Needs: []string{service.Config, service.Metrics, service.Gossip},
 			Service: &reader.Service{VM: s.Name, DataCentre: s.DataCentre, Random: n.random(),
 				Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
 		},
@@ -121,19 +155,32 @@
 			Service: &observer.Service[health.SequentialState, health.Sequential]{Policy: health.DefaultSequential, VM: s.Name,
 				Log: n.log("observer")},
 		},
+		{
+			Name: service.Pause,
+			Needs: []string{service.Metrics, service.Config, service.Gate, service.Gossip, service.Ejection,
+				service.Observer},
+			Service: &pause.Service{Log: n.log("pause")},
+		},
 		{
 			Name:    service.Router,
-			Needs:   []string{service.Ejection},
+			Needs:   []string{service.Gossip, service.Ejection},
 			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: n.random()},
 		},
 		{
+			// The gate refuses new work only after gossip announced the stop.
 			Name:    service.Gate,
-			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Observer},
+			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Gossip, service.Observer},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
 		{
-			Name:    service.Handoff,
-			Needs:   []string{service.Config, service.Peers, service.Router, service.Metrics, service.Observer},
+			Name:    service.Ledger,
+			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")},
+		},
+		{
+			Name: service.Handoff,
+			Needs: []string{service.Config, service.Peers, service.Router, service.Ledger, service.Metrics,
+				service.Observer},
 			Service: &handoff.Service{Log: n.log("handoff")},
 		},
 		{
@@ -143,8 +190,9 @@
 				Log: n.log("front")},
 		},
 		{
-			Name:  service.Admin,
-			Needs: []string{service.Config, service.Metrics, service.Gate, service.Peers, service.Router, service.Ejection},
+			Name: service.Admin,
+			Needs: []string{service.Config, service.Metrics, service.Gate, service.Gossip, service.Peers,
+				service.Router, service.Front, service.Ejection},
 			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
 				Log: n.log("admin")},
 		},
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -31,6 +33,15 @@
 	Folder string
 	// Rules is the first rules document.
 	Rules []byte
+	// Documents are further documents of each revision.
+	Documents map[string][]byte
+
+	// Advertise returns the address under which other nodes reach the node of a
+	// VM, such as that of a proxy before it; nil means the node's own. It is
+	// called when VM.Fleet is known.
+	Advertise func(v *VM) (netip.AddrPort, error)
+	// Settings are further settings of all nodes.
+	Settings map[string]any
 
 	// Platform, VMs and Register are filled by Start.
 	Platform *platform.Server
@@ -52,6 +63,8 @@
 	Callers    netip.AddrPort
 	Fleet      netip.AddrPort
 	Admin      netip.AddrPort
+	// Advertised is the address of the node in the register.
+	Advertised netip.AddrPort
 	// Process is the node.
 	Process *exec.Cmd
 }
@@ -84,7 +97,9 @@
 	if len(rules) == 0 {
 		rules = []byte("{}")
 	}
-	return f.Platform.Publish(map[string][]byte{"register": f.Register, "rules": rules})
+	documents := map[string][]byte{"register": f.Register, "rules": rules}
+	maps.Copy(documents, f.Documents)
+	return f.Platform.Publish(documents)
 }
 
 func (f *Fleet) startBackends() error {
@@ -105,6 +120,12 @@
 				return err
 			}
 			v.Callers, v.Fleet, v.Admin = free[0], free[1], free[2]
+			v.Advertised = v.Fleet
+			if f.Advertise != nil {
+				if v.Advertised, err = f.Advertise(v); err != nil {
+					return fmt.Errorf("advertise node %s: %w", v.Name, err)
+				}
+			}
 			f.VMs = append(f.VMs, v)
 		}
 	}
@@ -162,18 +183,23 @@
 	var out []netip.AddrPort
 	at := slices.Index(f.VMs, v)
 	for i := 1; i < len(f.VMs) && len(out) < settingsPeers; i++ {
-		out = append(out, f.VMs[(at+i)%len(f.VMs)].Fleet)
+		out = append(out, f.VMs[(at+i)%len(f.VMs)].Advertised)
 	}
 	return out
 }
 
+// coresOfVM is the number of cores that a node uses.
+const coresOfVM = 2
+
 // StartNode starts the node of a VM.
 func (f *Fleet) StartNode(v *VM) error {
-	settings, err := json.MarshalIndent(map[string]any{
+	values := map[string]any{
 		"name": v.Name, "region": f.Deployment.Region, "dataCentre": v.DataCentre,
-		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress,
-		"peers": f.peers(v),
-	}, "", "  ")
+		"callers": v.Callers, "fleet": v.Fleet, "admin": v.Admin, "platform": f.platformAddress, "profiling": true,
+		"peers": f.peers(v), "fleetKeys": []string{"local fleet"},
+	}
+	maps.Copy(values, f.Settings)
+	settings, err := json.MarshalIndent(values, "", "  ")
 	if err != nil {
 		return fmt.Errorf("render settings: %w", err)
 	}
@@ -188,6 +214,9 @@
 	defer logs.Close()
 	v.Process = exec.Command(f.Node, "--settings", path)
 	v.Process.Stdout, v.Process.Stderr = logs, logs
+	// The VMs of a real fleet are small. With all cores, the idle threads of
+	// each node look for work and take time from the others.
+	v.Process.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(coresOfVM))
 	// A node must not outlive a rig that was killed.
 	v.Process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := v.Process.Start(); err != nil {
