--- a/node/serve.go
+++ b/node/serve.go
@@ -113,7 +113,7 @@
 	s := n.settings
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
-	return []kernel.Registration{
+	return append(n.judging(), []kernel.Registration{
 		{
 			Name:    service.Credentials,
 			Service: &credentials.Service{Read: n.read, Reread: reread, Log: n.log("credentials")},
@@ -144,17 +144,6 @@
 			Service: &reader.Service{VM: s.Name, DataCentre: s.DataCentre, Random: n.random(),
 				Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
 		},
-		{
-			Name:    service.Ejection,
-			Needs:   []string{service.Config, service.Peers, service.Metrics},
-			Service: &ejection.Service{VM: s.Name, Incarnation: n.incarnation, Random: n.random(), Log: n.log("ejection")},
-		},
-		{
-			Name:  service.Observer,
-			Needs: []string{service.Config, service.Peers, service.Metrics, service.Ejection},
-			Service: &observer.Service[health.SequentialState, health.Sequential]{Policy: health.DefaultSequential, VM: s.Name,
-				Log: n.log("observer")},
-		},
 		{
 			Name: service.Pause,
 			Needs: []string{service.Metrics, service.Config, service.Gate, service.Gossip, service.Ejection,
@@ -196,5 +185,23 @@
 			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
 				Log: n.log("admin")},
 		},
+	}...)
+}
+
+// judging lists the services that find gray backend servers and eject them.
+func (n *node) judging() []kernel.Registration {
+	s := n.settings
+	return []kernel.Registration{
+		{
+			Name:    service.Ejection,
+			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Service: &ejection.Service{VM: s.Name, Incarnation: n.incarnation, Random: n.random(), Log: n.log("ejection")},
+		},
+		{
+			Name:  service.Observer,
+			Needs: []string{service.Config, service.Peers, service.Metrics, service.Ejection},
+			Service: &observer.Service[health.SequentialState, health.Sequential]{Policy: health.DefaultSequential, VM: s.Name,
+				Log: n.log("observer")},
+		},
 	}
 }
