Check for pauses and dead instances before a token is granted

Cause: the notice of a pause may come after a command that grants a token, and holders did not subtract dead instances from the capacity.

Change: the duty of the ejection service starts its quarantine by itself after 500 ms without a tick; the observer drops running requests after such a gap and names the dead instances that the membership knows.

--- a/lib/service/ejection/duty.go
+++ b/lib/service/ejection/duty.go
@@ -24,6 +24,8 @@
 	rankDelay = 400 * time.Millisecond
 	// cleanEvery is the time between two reports of good requests on trial.
 	cleanEvery = time.Second
+	// maxGap is the longest time between two ticks that is no pause.
+	maxGap = 500 * time.Millisecond
 	// commonMemory is how long a ruling that a fault is common is published.
 	commonMemory = 10 * time.Second
 	// selfMemory is how long the node suspects itself after the last verdict.
@@ -39,6 +41,7 @@
 	reported map[reportKey]time.Time
 	served   map[string]int
 	cleaned  time.Time
+	ticked   time.Time
 	suspect  time.Time
 	log      decisionLog
 	// changed is set when the snapshot must be made anew.
@@ -119,6 +122,8 @@
 
 // tick looks after leases and publishes what changed.
 func (s *Service) tick(now time.Time) {
+	s.watch(now)
+	s.duty.ticked = now
 	s.adopt(now)
 	for _, x := range s.duty.services {
 		if x.holder == nil {
@@ -227,6 +232,8 @@
 	for i, n := range c.Served {
 		d.served[i] += n
 	}
+	s.watch(now)
+	s.setDown(c.Down)
 	for _, v := range c.Verdicts {
 		s.verdict(now, v)
 	}
@@ -297,6 +304,7 @@
 }
 
 func (c suspect) apply(now time.Time, s *Service) {
+	s.watch(now)
 	s.adopt(now)
 	c.call.Reply(s.decide(now, c.call.Query))
 }
@@ -461,24 +469,34 @@
 // paused starts the quarantine of the holders after a pause.
 type paused struct{ at time.Time }
 
-func (c paused) apply(_ time.Time, s *Service) {
+func (c paused) apply(_ time.Time, s *Service) { s.resume(c.at) }
+
+// watch starts the quarantine if the duty did not tick for a time. The notice of
+// the pause service may come after a command that grants a token.
+func (s *Service) watch(now time.Time) {
+	if last := s.duty.ticked; !last.IsZero() && now.Sub(last) > maxGap {
+		s.Log.Warn("Duty did not run.", "for", now.Sub(last))
+		s.resume(now)
+	}
+}
+
+func (s *Service) resume(now time.Time) {
+	s.duty.ticked = now
 	for _, x := range s.duty.services {
 		if x.holder != nil {
-			x.holder.Resume(c.at)
+			x.holder.Resume(now)
 		}
 		x.jury = health.Jury{}
 	}
 }
 
-// setDown names the instances that do no work.
-type setDown struct{ down map[string]bool }
-
-func (c setDown) apply(_ time.Time, s *Service) {
+// setDown tells the holders which instances do no work.
+func (s *Service) setDown(down map[string]bool) {
 	if s.duty.conf == nil {
 		return
 	}
 	byService := make(map[string]map[string]bool)
-	for i := range c.down {
+	for i := range down {
 		if x := s.duty.conf.Instances[i]; x != nil && !x.Leaving {
 			if byService[x.Service.Name] == nil {
 				byService[x.Service.Name] = make(map[string]bool)
--- a/lib/service/ejection/ejection.go
+++ b/lib/service/ejection/ejection.go
@@ -143,14 +143,11 @@
 	}
 }
 
-// SetDown names the instances that are dead, unreachable or cold.
-func (s *Service) SetDown(ctx context.Context, down map[string]bool) error {
-	return s.commands.Put(ctx, setDown{down: down})
-}
-
 // Judgement is what the observer of this node found.
 type Judgement struct {
 	Verdicts []health.Verdict
+	// Down names the dead instances of the services that this VM serves.
+	Down map[string]bool
 	// Served counts the requests that each instance of this VM served well.
 	Served map[string]int
 }
--- a/lib/service/observer/observer.go
+++ b/lib/service/observer/observer.go
@@ -13,6 +13,7 @@
 
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/decision/health"
+	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
@@ -28,6 +29,8 @@
 	ringSize = 8192
 	// tick is how often the detector judges.
 	tick = 100 * time.Millisecond
+	// maxGap is the longest time between two judgements that is no pause.
+	maxGap = 500 * time.Millisecond
 )
 
 // Observer is how other services use the service, whatever its policy.
@@ -56,11 +59,18 @@
 	events   *ring.Ring[event]
 	detector health.Detector[S, P]
 	conf     *config.Configuration
+	members  members
+	judged   time.Time
 	served   map[string]int
 	ejected  map[string]bool
 	common   map[string]time.Time
 }
 
+// members is the part of the gossip service that tells the state of a node.
+type members interface {
+	State(vm string) member.State
+}
+
 // event is an observation, a question or a pause.
 type event struct {
 	at          time.Time
@@ -82,6 +92,9 @@
 	if s.metrics, err = kernel.Find[*metrics.Service](dir, service.Metrics); err != nil {
 		return err
 	}
+	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
+		return err
+	}
 	p, err := kernel.Find[*peers.Service](dir, service.Peers)
 	if err != nil {
 		return err
@@ -166,12 +179,38 @@
 		s.conf = conf
 		s.detector.Retain(func(i string) bool { return conf.Instances[i] != nil })
 	}
+	if !s.judged.IsZero() && now.Sub(s.judged) > maxGap {
+		// The ages of running requests span a time in which this process did not run.
+		s.detector.Paused(now)
+	}
+	s.judged = now
 	s.follow(s.ejection.Snapshot())
-	s.ejection.Judged(ejection.Judgement{Verdicts: s.detector.Judge(now), Served: s.served})
+	s.ejection.Judged(ejection.Judgement{Verdicts: s.detector.Judge(now), Served: s.served, Down: s.down()})
 	s.served = make(map[string]int)
 	s.metrics.Ring("observer", s.events.Stats())
 }
 
+// down returns the dead instances of the services of this VM, whose tokens it may
+// hold.
+func (s *Service[S, P]) down() map[string]bool {
+	if s.conf == nil || s.conf.VMs[s.VM] == nil {
+		return nil
+	}
+	var out map[string]bool
+	for _, own := range s.conf.VMs[s.VM].Instances {
+		for _, i := range own.Service.Instances {
+			if s.members.State(i.VM.Name) != member.Dead {
+				continue
+			}
+			if out == nil {
+				out = make(map[string]bool)
+			}
+			out[i.Name] = true
+		}
+	}
+	return out
+}
+
 // follow forgets the evidence about instances that were ejected, whose trial
 // starts with none, and discounts evidence that a whole service shares.
 func (s *Service[S, P]) follow(snap *ejection.Snapshot) {
--- a/node/serve.go
+++ b/node/serve.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -113,7 +114,7 @@
 	s := n.settings
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
-	return append(n.judging(), []kernel.Registration{
+	return append(slices.Concat(n.judging(), n.serving()), []kernel.Registration{
 		{
 			Name:    service.Credentials,
 			Service: &credentials.Service{Read: n.read, Reread: reread, Log: n.log("credentials")},
@@ -172,19 +173,6 @@
 				service.Observer},
 			Service: &handoff.Service{Log: n.log("handoff")},
 		},
-		{
-			Name:  service.Front,
-			Needs: []string{service.Handoff, service.Config},
-			Service: &front.Service{Listener: n.listeners.callers, VM: s.Name, Timeout: s.RequestTimeout,
-				Log: n.log("front")},
-		},
-		{
-			Name: service.Admin,
-			Needs: []string{service.Config, service.Metrics, service.Gate, service.Gossip, service.Peers,
-				service.Router, service.Front, service.Ejection},
-			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
-				Log: n.log("admin")},
-		},
 	}...)
 }
 
@@ -199,9 +187,29 @@
 		},
 		{
 			Name:  service.Observer,
-			Needs: []string{service.Config, service.Peers, service.Metrics, service.Ejection},
+			Needs: []string{service.Config, service.Peers, service.Metrics, service.Ejection, service.Gossip},
 			Service: &observer.Service[health.SequentialState, health.Sequential]{Policy: health.DefaultSequential, VM: s.Name,
 				Log: n.log("observer")},
 		},
 	}
 }
+
+// serving lists the services that callers and operators connect to.
+func (n *node) serving() []kernel.Registration {
+	s := n.settings
+	return []kernel.Registration{
+		{
+			Name:  service.Front,
+			Needs: []string{service.Handoff, service.Config},
+			Service: &front.Service{Listener: n.listeners.callers, VM: s.Name, Timeout: s.RequestTimeout,
+				Log: n.log("front")},
+		},
+		{
+			Name: service.Admin,
+			Needs: []string{service.Config, service.Metrics, service.Gate, service.Gossip, service.Peers,
+				service.Router, service.Front, service.Ejection},
+			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
+				Log: n.log("admin")},
+		},
+	}
+}
