--- a/lib/decision/health/observation.go
+++ b/lib/decision/health/observation.go
@@ -70,12 +70,6 @@
 // Ratios holds the log likelihood ratio of an observation for each hypothesis.
 type Ratios [hypotheses]float64
 
-func (r *Ratios) add(o Ratios) {
-	for i := range r {
-		r[i] += o[i]
-	}
-}
-
 // Cause tells where the fault is.
 type Cause string
 
@@ -109,8 +103,9 @@
 	// Samples and Bad count the observations since the evidence began.
 	Samples, Bad int
 	// Score is the evidence as a multiple of the threshold: 1 or more is enough
-	// to ask for an ejection.
-	Score float64
+	// to ask for an ejection. Raw is the score without the comparison with the
+	// siblings.
+	Score, Raw float64
 	// Confidence is the probability that the instance is faulty.
 	Confidence float64
 	// Siblings is the number of observations of siblings in the same time.
--- a/lib/decision/health/policy.go
+++ b/lib/decision/health/policy.go
@@ -13,27 +13,10 @@
 	Bad bool
 	// Failed is set for an error.
 	Failed bool
-}
-
-// Siblings is the sum of the evidence about the siblings since the start of the
-// detector.
-type Siblings struct {
-	Samples float64
-	Ratios  Ratios
-}
-
-func (s Siblings) minus(o Siblings) Siblings {
-	s.Samples -= o.Samples
-	for i := range s.Ratios {
-		s.Ratios[i] -= o.Ratios[i]
-	}
-	return s
-}
-
-func (s Siblings) plus(o Siblings) Siblings {
-	s.Samples += o.Samples
-	s.Ratios.add(o.Ratios)
-	return s
+	// Since and Siblings are the start of a running request and the observations
+	// of siblings up to then.
+	Since    time.Time
+	Siblings int
 }
 
 // Score is the evidence against an instance.
@@ -42,8 +25,6 @@
 	Samples, Bad int
 	// Value is a multiple of the threshold.
 	Value float64
-	// Raw is Value without the comparison with the siblings.
-	Raw float64
 	// Siblings counts the observations of siblings since Since.
 	Siblings int
 	Since    time.Time
@@ -54,16 +35,19 @@
 // Policy turns evidence into a score. S is its state for one instance.
 type Policy[S any] interface {
 	// Add records a finished request.
-	Add(s *S, now time.Time, e Evidence, siblings Siblings)
+	Add(s *S, now time.Time, e Evidence, siblings int)
 	// Score judges the finished requests together with those that still run.
-	Score(s *S, now time.Time, running []Evidence, siblings Siblings) Score
+	// Siblings counts the observations of siblings since the start.
+	Score(s *S, now time.Time, running []Evidence, siblings int) Score
+	// Common discounts the evidence so far, as the whole service shares it.
+	Common(s *S, now time.Time)
 }
 
 // Sequential is the policy in use. It sums the log likelihood ratios of each
 // hypothesis and starts anew where a sum falls below 0 (CUSUM).
 type Sequential struct {
-	// Threshold is the sum that is enough. The chance that a healthy instance
-	// reaches it falls by e for each unit.
+	// Threshold is the sum that is enough at referenceRate. The chance that a
+	// healthy instance reaches it falls by e for each unit.
 	Threshold float64
 	// MinBad is the least number of bad observations.
 	MinBad int
@@ -75,12 +59,14 @@
 var DefaultSequential = Sequential{Threshold: 18, MinBad: 3}
 
 const (
-	// siblingFactor is how far an instance must exceed its siblings: evidence
-	// that is not this many times stronger than theirs counts as common.
-	siblingFactor = 2
-	// siblingPrior is the pseudo number of siblings' observations without
-	// evidence.
-	siblingPrior = 1
+	// referenceRate, in requests a second, is the rate that Threshold is for. At
+	// another rate the threshold changes by the logarithm of the ratio, so that
+	// false alarms are as rare in a day at each rate.
+	referenceRate = 30
+	// minThreshold bounds the threshold at low rates.
+	minThreshold = 12
+	// rateMemory is the half-life of the estimate of the rate.
+	rateMemory = 30 * time.Second
 	// episodePart of the threshold makes a rise of the sum an episode, which is
 	// remembered for episodeMemory. Each of the last two lowers the threshold by
 	// episodeDiscount, so that an instance that flaps is found faster each time.
@@ -88,6 +74,14 @@
 	episodeMemory   = time.Minute
 	episodeDiscount = 0.15
 	maxEpisodes     = 2
+	// maxSum bounds a sum as a multiple of the threshold, so that the instances
+	// of a service that was slow everywhere recover at the same time.
+	maxSum = 1.3
+	// commonSum is what is left of a sum that the whole service shares.
+	commonSum = 0.5
+	// sumMemory is the half-life of a sum. Evidence of some minutes ago says
+	// little about an instance with few requests.
+	sumMemory = time.Minute
 )
 
 // sum is the evidence for one hypothesis since it began.
@@ -95,17 +89,24 @@
 	value, peak  float64
 	samples, bad int
 	since        time.Time
-	siblings     Siblings
+	siblings     int
 }
 
 // SequentialState is the state of Sequential for one instance.
 type SequentialState struct {
 	sums     [hypotheses]sum
 	episodes []time.Time
+	// count is the number of requests, decayed up to last.
+	count float64
+	last  time.Time
 }
 
 // Add implements Policy.
-func (p Sequential) Add(s *SequentialState, now time.Time, e Evidence, siblings Siblings) {
+func (p Sequential) Add(s *SequentialState, now time.Time, e Evidence, siblings int) {
+	s.count = 1 + s.count*math.Exp2(-float64(now.Sub(s.last))/float64(rateMemory))
+	fade := math.Exp2(-float64(now.Sub(s.last)) / float64(sumMemory))
+	s.last = now
+	limit := maxSum * p.threshold(s, now)
 	for h := range s.sums {
 		x := &s.sums[h]
 		if x.value == 0 && e.Ratios[h] <= 0 {
@@ -114,7 +115,7 @@
 		if x.value == 0 {
 			*x = sum{since: now, siblings: siblings}
 		}
-		x.value += e.Ratios[h]
+		x.value = min(x.value*fade+e.Ratios[h], limit)
 		x.samples++
 		if e.Bad {
 			x.bad++
@@ -129,6 +130,14 @@
 	}
 }
 
+// Common implements Policy.
+func (p Sequential) Common(s *SequentialState, now time.Time) {
+	limit := commonSum * p.threshold(s, now)
+	for h := range s.sums {
+		s.sums[h].value = min(s.sums[h].value, limit)
+	}
+}
+
 func (s *SequentialState) episode(now time.Time) {
 	s.episodes = append(s.episodes, now)
 	if len(s.episodes) > maxEpisodes {
@@ -140,42 +149,43 @@
 	for len(s.episodes) > 0 && now.Sub(s.episodes[0]) > episodeMemory {
 		s.episodes = s.episodes[1:]
 	}
-	return p.Threshold * (1 - episodeDiscount*float64(len(s.episodes)))
+	rate := s.count * math.Ln2 / rateMemory.Seconds()
+	threshold := max(minThreshold, p.Threshold+math.Log((rate+1/rateMemory.Seconds())/referenceRate))
+	return threshold * (1 - episodeDiscount*float64(len(s.episodes)))
 }
 
 // Score implements Policy.
-func (p Sequential) Score(s *SequentialState, now time.Time, running []Evidence, siblings Siblings) Score {
+func (p Sequential) Score(s *SequentialState, now time.Time, running []Evidence, siblings int) Score {
 	threshold := p.threshold(s, now)
 	var best Score
 	for h := range s.sums {
 		c := p.hypothesis(Hypothesis(h), s.sums[h], now, running, siblings, threshold)
-		if c.Value > best.Value || best.Since.IsZero() || (c.Value == best.Value && c.Raw > best.Raw) {
+		if c.Value > best.Value || best.Since.IsZero() {
 			best = c
 		}
 	}
 	return best
 }
 
-func (p Sequential) hypothesis(h Hypothesis, x sum, now time.Time, running []Evidence, siblings Siblings,
+func (p Sequential) hypothesis(h Hypothesis, x sum, now time.Time, running []Evidence, siblings int,
 	threshold float64) Score {
 	if x.value == 0 {
 		x.since, x.siblings = now, siblings
 	}
 	for _, e := range running {
 		if e.Ratios[h] > 0 {
+			if e.Since.Before(x.since) {
+				x.since, x.siblings = e.Since, e.Siblings
+			}
 			x.value += e.Ratios[h]
 			x.samples++
 			x.bad++
 		}
 	}
-	common := siblings.minus(x.siblings)
-	mean := max(0, common.Ratios[h]/(common.Samples+siblingPrior))
-	value := max(0, x.value-siblingFactor*mean*float64(x.samples))
-	score := Score{Hypothesis: h, Samples: x.samples, Bad: x.bad, Value: value / threshold, Raw: x.value / threshold,
-		Siblings: int(common.Samples), Since: x.since, LogOdds: value}
+	score := Score{Hypothesis: h, Samples: x.samples, Bad: x.bad, Value: x.value / threshold,
+		Siblings: siblings - x.siblings, Since: x.since, LogOdds: x.value}
 	if x.bad < p.MinBad {
 		score.Value = min(score.Value, belowOne)
-		score.Raw = min(score.Raw, belowOne)
 	}
 	return score
 }
@@ -196,7 +206,7 @@
 }
 
 // Add implements Policy.
-func (p Consecutive) Add(s *ConsecutiveState, now time.Time, e Evidence, _ Siblings) {
+func (p Consecutive) Add(s *ConsecutiveState, now time.Time, e Evidence, _ int) {
 	if !e.Failed {
 		s.errors = 0
 		return
@@ -208,11 +218,14 @@
 }
 
 // Score implements Policy.
-func (p Consecutive) Score(s *ConsecutiveState, _ time.Time, _ []Evidence, _ Siblings) Score {
+func (p Consecutive) Score(s *ConsecutiveState, _ time.Time, _ []Evidence, _ int) Score {
 	v := float64(s.errors) / float64(p.Errors)
-	return Score{Hypothesis: Errors, Samples: s.errors, Bad: s.errors, Value: v, Raw: v, Since: s.since}
+	return Score{Hypothesis: Errors, Samples: s.errors, Bad: s.errors, Value: v, Since: s.since}
 }
 
+// Common implements Policy.
+func (Consecutive) Common(*ConsecutiveState, time.Time) {}
+
 // priorLogOdds is how much less likely a fault is than a healthy instance before
 // any evidence.
 const priorLogOdds = 9.2
--- a/lib/service/admin/explain.go
+++ b/lib/service/admin/explain.go
@@ -47,7 +47,7 @@
 		return
 	}
 	out := Explanation{Service: rt.Service.Name, Prefix: rt.Prefix, Idempotent: rt.Idempotent}
-	candidates, err := s.router.Explain(r.Context(), router.Query{Service: rt.Service})
+	candidates, err := s.router.Explain(r.Context(), router.Query{Service: rt.Service, Idempotent: rt.Idempotent})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -221,7 +221,9 @@
 		time.Sleep(cancelHold)
 		release(run{took: time.Since(started)})
 	})
-	last := x.call(ctx, adm, head)
+	seen := x.sight(adm.instance, adm.grant.Number)
+	last := x.call(ctx, adm, head, seen)
+	seen.ended(last)
 	stop()
 	span.End()
 	took := time.Since(started)
@@ -252,7 +254,7 @@
 }
 
 // call performs the HTTP call and returns the last message to the entry.
-func (x *exchange) call(ctx context.Context, adm admitted, head request.Head) *wire.Down {
+func (x *exchange) call(ctx context.Context, adm admitted, head request.Head, seen *sight) *wire.Down {
 	var p progress
 	body, trailer := x.body(head)
 	inst := adm.instance
@@ -268,6 +270,7 @@
 		return x.lost(err, p.notRun())
 	}
 	defer res.Body.Close()
+	seen.answered(res.StatusCode)
 	down := &wire.Down{Kind: &wire.Down_Head{Head: &wire.ResponseHead{
 		Status:        uint32(res.StatusCode),
 		Fields:        wire.ToFields(EndToEnd(res.Header)),
--- a/lib/service/gate/gate_test.go
+++ b/lib/service/gate/gate_test.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"cassiarack.example/lib/decision/config"
+	"cassiarack.example/lib/decision/health"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/platform"
@@ -62,7 +63,12 @@
 		{Name: service.Metrics, Service: metrics.New("v", "d")},
 		{Name: service.Peers, Service: &peers.Service{Listener: lis, Log: quiet}},
 		{Name: service.Config, Needs: []string{service.Peers, service.Metrics}, Service: b.conf},
-		{Name: service.Gate, Needs: []string{service.Config, service.Peers, service.Metrics}, Service: b.gate},
+		{Name: service.Observer, Service: unobserved{}},
+		{
+			Name:    service.Gate,
+			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Observer},
+			Service: b.gate,
+		},
 		{Name: "starter", Needs: []string{service.Config, service.Gate}, Service: up},
 	}}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -412,3 +418,15 @@
 		t.Errorf("slot of a stuck entry: %s", got)
 	}
 }
+
+// unobserved is an observer that drops all observations.
+type unobserved struct{}
+
+func (unobserved) Bind(*kernel.Directory) error { return nil }
+
+func (unobserved) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (unobserved) Observe(time.Time, health.Observation) {}
--- a/lib/service/gossip/gossip.go
+++ b/lib/service/gossip/gossip.go
@@ -123,6 +123,9 @@
 	if s.revisions, err = kernel.Find[revisions](dir, service.Config); err != nil {
 		return err
 	}
+	if s.ejections, err = kernel.Find[ejections](dir, service.Ejection); err != nil {
+		return err
+	}
 	s.scope = m.Scope().SubScope("gossip")
 	s.commands = ring.New[command](ringSize)
 	s.table = member.Table{Self: s.Self}
--- a/lib/service/handoff/attempt.go
+++ b/lib/service/handoff/attempt.go
@@ -37,6 +37,8 @@
 	stream wire.DRPCHandover_ExchangeClient
 	downs  *ring.Ring[*wire.Down]
 	load   *router.Load
+	// reserved is when the gate granted the slot.
+	reserved time.Time
 	// sender is closed when the goroutine that sends the body ended.
 	sender chan struct{}
 	// key is the claim that must be granted before the commit, or nil.
@@ -112,6 +114,7 @@
 	client := wire.NewDRPCHandoverClient(a.s.peers.Conn(a.ctx, a.inst.VM.Node))
 	stream, err := client.Exchange(a.ctx)
 	if err != nil {
+		a.observeReserved(err)
 		return a.unreachable(err)
 	}
 	a.stream = stream
@@ -133,6 +136,7 @@
 		reserve.Head = wire.ToHead(a.req.Head)
 	}
 	if err := stream.Send(&wire.Up{Kind: &wire.Up_Reserve{Reserve: reserve}}); err != nil {
+		a.observeReserved(err)
 		return a.unreachable(err)
 	}
 	go a.receive()
@@ -182,6 +186,7 @@
 	ctx, cancel := context.WithTimeout(a.ctx, a.patience+reserveTimeout)
 	defer cancel()
 	down, err := a.downs.Take(ctx)
+	a.observeReserved(err)
 	if err != nil {
 		return nil, a.unreachable(err)
 	}
@@ -190,6 +195,7 @@
 		return nil, failure(f)
 	}
 	if r := down.GetRefused(); r != nil {
+		a.observeRefused()
 		return nil, refusal(r)
 	}
 	if down.GetReserved() == nil {
--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -14,6 +14,7 @@
 	configservice "cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/service/ledger"
 	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/observer"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/router"
 )
@@ -38,11 +39,12 @@
 	// Log receives lost links.
 	Log *log.Logger
 
-	config *configservice.Service
-	peers  *peers.Service
-	router router.Router
-	ledger *ledger.Service
-	scope  tally.Scope
+	config   *configservice.Service
+	peers    *peers.Service
+	router   router.Router
+	ledger   *ledger.Service
+	observer observer.Observer
+	scope    tally.Scope
 }
 
 // Bind implements kernel.Service.
@@ -59,6 +61,9 @@
 		return err
 	}
 	s.scope = m.Scope().SubScope("handoff")
+	if s.observer, err = observer.Find(dir); err != nil {
+		return err
+	}
 	if s.ledger, err = kernel.Find[*ledger.Service](dir, service.Ledger); err != nil {
 		return err
 	}
--- a/lib/service/handoff/hedge.go
+++ b/lib/service/handoff/hedge.go
@@ -7,7 +7,6 @@
 	"cassiarack.example/lib/decision/retry"
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/ring"
-	"cassiarack.example/lib/service/router"
 )
 
 // copies is the number of attempts of a hedged request.
@@ -118,7 +117,7 @@
 		j.s.scope.Counter("hedges_denied").Inc(1)
 		return notMade("no budget")
 	}
-	inst, err := j.s.router.Choose(hedging, router.Query{Service: j.route.Service, Exclude: j.tried})
+	inst, err := j.s.router.Choose(hedging, j.query())
 	if err != nil {
 		return notMade("no other instance")
 	}
--- a/lib/service/handoff/moves.go
+++ b/lib/service/handoff/moves.go
@@ -93,12 +93,12 @@
 		j.tried = slices.Clone(j.failed)
 	}
 	j.moves++
-	inst, err := j.s.router.Choose(ctx, router.Query{Service: j.route.Service, Exclude: j.tried})
+	inst, err := j.s.router.Choose(ctx, j.query())
 	if err != nil && len(j.tried) > len(j.failed) {
 		// The number of gates includes instances that get no work, such as ejected
 		// ones, so that the others may all have been tried before.
 		j.tried = slices.Clone(j.failed)
-		inst, err = j.s.router.Choose(ctx, router.Query{Service: j.route.Service, Exclude: j.tried})
+		inst, err = j.s.router.Choose(ctx, j.query())
 	}
 	if err == nil {
 		j.tried = append(j.tried, inst.Name)
@@ -106,6 +106,10 @@
 	return inst, err
 }
 
+func (j *journey) query() router.Query {
+	return router.Query{Service: j.route.Service, Idempotent: j.route.Idempotent, Exclude: j.tried}
+}
+
 // attempt hands the request to the gate of inst, with a hedge if one may be due.
 func (j *journey) attempt(ctx context.Context, inst *config.Instance, m retry.Move) (*request.Answer, *request.Failure) {
 	a := j.newAttempt(ctx, inst)
--- a/lib/service/handoff/settle.go
+++ b/lib/service/handoff/settle.go
@@ -70,6 +70,9 @@
 	}
 	defer cancel()
 	down, err := a.downs.Take(ctx)
+	if err == nil || a.ctx.Err() != nil || errors.Is(err, ring.ErrClosed) {
+		a.observeHead(down, err)
+	}
 	switch {
 	case a.ctx.Err() != nil && (err != nil || down.GetHead() != nil):
 		// An answer that begins too late is of no use; a refusal is.
--- a/lib/service/router/candidates.go
+++ b/lib/service/router/candidates.go
@@ -8,6 +8,7 @@
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/decision/retry"
+	"cassiarack.example/lib/service/ejection"
 )
 
 // leavingMemory is how long a gate's report that its instance takes no new work
@@ -66,6 +67,31 @@
 	exclude []string
 	// dead admits instances whose node is taken for dead.
 	dead bool
+	// ejections lowers the weights of instances that are ejected, on trial or
+	// suspect. Idempotent requests may go to instances on trial.
+	ejections  *ejection.Snapshot
+	idempotent bool
+	// lastResort is an instance that is admitted whatever its ejection.
+	lastResort string
+}
+
+func (s *Service[P]) candidates(now time.Time, q Query) *candidates[P] {
+	return &candidates[P]{s: s, now: now, of: s.service(q.Service), exclude: q.Exclude,
+		ejections: s.ejection.Snapshot(), idempotent: q.Idempotent}
+}
+
+// leastBad returns the instance to take when all are excluded.
+func (c *candidates[P]) leastBad() string {
+	best := ""
+	for _, i := range c.of.instances {
+		if slices.Contains(c.exclude, i.Name) || i.Leaving {
+			continue
+		}
+		if best == "" || c.ejections.Badness(c.now, i.Name) < c.ejections.Badness(c.now, best) {
+			best = i.Name
+		}
+	}
+	return best
 }
 
 // Len implements choice.Candidates.
@@ -84,6 +110,9 @@
 	if c.s.isOut(inst, c.dead) {
 		x.Weight = 0
 	}
+	if inst.Name != c.lastResort {
+		x.Weight *= c.ejections.Weight(c.now, inst.Name, c.idempotent)
+	}
 	return x
 }
 
--- a/lib/service/router/explain.go
+++ b/lib/service/router/explain.go
@@ -25,7 +25,7 @@
 }
 
 func (s *Service[P]) explain(now time.Time, q Query) []Explained {
-	cs := &candidates[P]{s: s, now: now, of: s.service(q.Service), exclude: q.Exclude}
+	cs := s.candidates(now, q)
 	out := make([]Explained, cs.Len())
 	for i, inst := range cs.of.instances {
 		out[i] = Explained{Instance: inst.Name, DataCentre: inst.VM.DataCentre, Candidate: cs.At(i)}
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -13,6 +13,7 @@
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service"
+	"cassiarack.example/lib/service/ejection"
 )
 
 // ringSize bounds the questions and reports that wait for the duty.
@@ -25,6 +26,8 @@
 // Query asks for an instance.
 type Query struct {
 	Service *config.Service
+	// Idempotent requests may go to instances that return on trial.
+	Idempotent bool
 	// Exclude holds the instances that were tried before.
 	Exclude []string
 }
@@ -73,6 +76,7 @@
 	// Random is the random source.
 	Random *rand.Rand
 
+	ejection *ejection.Service
 	members  members
 	commands *ring.Ring[command]
 	chooser  choice.Chooser[P]
@@ -108,6 +112,9 @@
 // Bind implements kernel.Service.
 func (s *Service[P]) Bind(dir *kernel.Directory) error {
 	var err error
+	if s.ejection, err = kernel.Find[*ejection.Service](dir, service.Ejection); err != nil {
+		return err
+	}
 	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
 		return err
 	}
@@ -173,7 +180,7 @@
 }
 
 func (s *Service[P]) choose(now time.Time, q Query) chosen {
-	cs := &candidates[P]{s: s, now: now, of: s.service(q.Service), exclude: q.Exclude}
+	cs := s.candidates(now, q)
 	i, err := s.chooser.Choose(now, q.Service.Name, cs)
 	if err != nil {
 		// When no other instance is left, it is more likely that this node does not
@@ -181,6 +188,10 @@
 		cs.dead = true
 		i, err = s.chooser.Choose(now, q.Service.Name, cs)
 	}
+	if err != nil {
+		cs.lastResort = cs.leastBad()
+		i, err = s.chooser.Choose(now, q.Service.Name, cs)
+	}
 	if err != nil {
 		return chosen{err: err}
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -9,12 +9,14 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"cassiarack.example/lib/decision/choice"
+	"cassiarack.example/lib/decision/health"
 	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/input/settings"
 	"cassiarack.example/lib/kernel"
@@ -23,12 +25,14 @@
 	"cassiarack.example/lib/service/admin"
 	"cassiarack.example/lib/service/config"
 	"cassiarack.example/lib/service/credentials"
+	"cassiarack.example/lib/service/ejection"
 	"cassiarack.example/lib/service/front"
 	"cassiarack.example/lib/service/gate"
 	"cassiarack.example/lib/service/gossip"
 	"cassiarack.example/lib/service/handoff"
 	"cassiarack.example/lib/service/ledger"
 	"cassiarack.example/lib/service/metrics"
+	"cassiarack.example/lib/service/observer"
 	"cassiarack.example/lib/service/pause"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/reader"
@@ -108,7 +112,7 @@
 // registrations lists the services of a node.
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
-	return []kernel.Registration{
+	return append(slices.Concat(n.judging(), n.serving()), []kernel.Registration{
 		{
 			Name:    service.Credentials,
 			Needs:   []string{service.Peers},
@@ -116,7 +120,7 @@
 		},
 		{
 			Name:    service.Gossip,
-			Needs:   []string{service.Config, service.Credentials, service.Metrics},
+			Needs:   []string{service.Config, service.Credentials, service.Metrics, service.Ejection},
 			Service: n.gossip(),
 		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
@@ -134,28 +138,55 @@
 				Client: &platform.Client{Address: s.Platform}, Log: n.log("reader")},
 		},
 		{
-			Name:    service.Pause,
-			Needs:   []string{service.Metrics, service.Config, service.Gate, service.Ledger, service.Gossip},
+			Name: service.Pause,
+			Needs: []string{service.Metrics, service.Config, service.Gate, service.Ledger, service.Gossip,
+				service.Ejection, service.Observer},
 			Service: &pause.Service{Log: n.log("pause")},
 		},
 		{
 			Name:    service.Router,
-			Needs:   []string{service.Gossip},
+			Needs:   []string{service.Gossip, service.Ejection},
 			Service: &router.Service[choice.TwoChoices]{DataCentre: s.DataCentre, Random: n.random()},
 		},
 		{
 			// The gate refuses new work only after gossip announced the stop.
 			Name:    service.Gate,
-			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Gossip},
+			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Gossip, service.Observer},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
 		{Name: service.Ledger, Needs: []string{service.Config, service.Peers, service.Metrics},
 			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")}},
 		{
-			Name:    service.Handoff,
-			Needs:   []string{service.Config, service.Peers, service.Router, service.Ledger, service.Metrics},
+			Name: service.Handoff,
+			Needs: []string{service.Config, service.Peers, service.Router, service.Ledger, service.Metrics,
+				service.Observer},
 			Service: &handoff.Service{Log: n.log("handoff")},
 		},
+	}...)
+}
+
+// judging lists the services that find gray backend servers and eject them.
+func (n *node) judging() []kernel.Registration {
+	s := n.settings
+	return []kernel.Registration{
+		{
+			Name:    service.Ejection,
+			Needs:   []string{service.Config, service.Peers, service.Metrics},
+			Service: &ejection.Service{VM: s.Name, Incarnation: n.incarnation, Random: n.random(), Log: n.log("ejection")},
+		},
+		{
+			Name:  service.Observer,
+			Needs: []string{service.Config, service.Peers, service.Metrics, service.Ejection, service.Gossip},
+			Service: &observer.Service[health.SequentialState, health.Sequential]{Policy: health.DefaultSequential, VM: s.Name,
+				Log: n.log("observer")},
+		},
+	}
+}
+
+// serving lists the services that callers and operators connect to.
+func (n *node) serving() []kernel.Registration {
+	s := n.settings
+	return []kernel.Registration{
 		{
 			Name:  service.Front,
 			Needs: []string{service.Handoff, service.Config},
@@ -165,7 +196,7 @@
 		{
 			Name: service.Admin,
 			Needs: []string{service.Config, service.Metrics, service.Gate, service.Gossip, service.Peers,
-				service.Router, service.Front},
+				service.Router, service.Front, service.Ejection},
 			Service: &admin.Service{Listener: n.listeners.admin, VM: s.Name, Profiling: s.Profiling,
 				Log: n.log("admin")},
 		},
