--- a/lib/decision/member/table.go
+++ b/lib/decision/member/table.go
@@ -135,8 +135,13 @@
 		t.unlisted--
 	}
 	e.Region, e.DataCentre = m.Region, m.DataCentre
-	if e != t.self && e.registered != m.Address {
-		e.registered = m.Address
+	if e == t.self || e.registered == m.Address {
+		return
+	}
+	// A member that spoke before it was listed is reached where it spoke from.
+	spoke := e.Incarnation > 0 && !e.registered.IsValid()
+	e.registered = m.Address
+	if !spoke {
 		t.move(e, m.Address)
 	}
 }
--- a/lib/service/peers/peers.go
+++ b/lib/service/peers/peers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
@@ -46,12 +47,15 @@
 type Service struct {
 	// Listener accepts connections of other nodes.
 	Listener net.Listener
-	// Server and Client enable TLS between nodes; both or neither are set.
-	Server *tls.Config
-	Client *tls.Config
-	// Log receives connection errors.
+	// Log receives connection errors and refused peers.
 	Log *log.Logger
 
+	// credentials is nil when the connections do not use TLS.
+	credentials func() (*tls.Certificate, *x509.CertPool)
+	// admits reports whether a VM may connect; it is nil before a service that
+	// holds the register set it.
+	admits func(vm string) bool
+
 	mux  *drpcmux.Mux
 	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
@@ -82,8 +86,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial node %v: %w", addr, err)
 	}
-	if s.Client != nil {
-		conn := tls.Client(raw, s.Client)
+	if s.credentials != nil {
+		conn := tls.Client(raw, s.clientConfig())
 		if err := conn.HandshakeContext(ctx); err != nil {
 			return nil, fmt.Errorf("dial node %v: %w", addr, errors.Join(err, raw.Close()))
 		}
@@ -109,8 +113,8 @@
 		Log:     func(err error) { s.Log.Debug("Connection ended.", "err", err) },
 	})
 	lis := s.Listener
-	if s.Server != nil {
-		lis = tls.NewListener(lis, s.Server)
+	if s.credentials != nil {
+		lis = s.secure(ctx, lis)
 	}
 	err := server.Serve(ctx, lis)
 	if closeErr := s.pool.Close(); closeErr != nil {
--- a/lib/service/router/router.go
+++ b/lib/service/router/router.go
@@ -118,11 +118,16 @@
 	if s.members, err = kernel.Find[members](dir, service.Gossip); err != nil {
 		return err
 	}
+	s.init()
+	return nil
+}
+
+// init makes the state of the duty.
+func (s *Service[P]) init() {
 	s.commands = ring.New[command](ringSize)
 	s.chooser = choice.Chooser[P]{Policy: s.Policy, Random: s.Random}
 	s.picture = make(map[string]*picture)
 	s.services = make(map[string]*serviceState)
-	return nil
 }
 
 // Choose implements Router.
@@ -157,7 +162,7 @@
 
 // Run implements kernel.Service.
 func (s *Service[P]) Run(ctx context.Context) error {
-	d := ring.Duty[command]{Ring: s.commands, Handle: s.handle}
+	d := ring.Duty[command]{Ring: s.commands, Interval: pruneInterval, Handle: s.handle, Tick: s.prune}
 	return d.Run(ctx)
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -112,24 +112,16 @@
 // registrations lists the services of a node.
 func (n *node) registrations() []kernel.Registration {
 	s := n.settings
-	reread := make(chan os.Signal, 1)
-	signal.Notify(reread, syscall.SIGHUP)
 	return append(slices.Concat(n.judging(), n.serving()), []kernel.Registration{
 		{
 			Name:    service.Credentials,
-			Service: &credentials.Service{Read: n.read, Reread: reread, Log: n.log("credentials")},
+			Needs:   []string{service.Peers},
+			Service: &credentials.Service{Read: n.read, Reread: hangups(), Log: n.log("credentials")},
 		},
 		{
-			Name:  service.Gossip,
-			Needs: []string{service.Config, service.Credentials, service.Metrics, service.Ejection},
-			Service: &gossip.Service{
-				Conn: n.listeners.datagrams,
-				Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
-					Incarnation: n.incarnation},
-				Seeds:  s.Peers,
-				Random: n.random(),
-				Log:    n.log("gossip"),
-			},
+			Name:    service.Gossip,
+			Needs:   []string{service.Config, service.Credentials, service.Metrics, service.Ejection},
+			Service: n.gossip(),
 		},
 		{Name: service.Metrics, Service: metrics.New(s.Name, s.DataCentre)},
 		{Name: service.Peers, Service: &peers.Service{Listener: n.listeners.fleet, Log: n.log("peers")}},
@@ -147,8 +139,8 @@
 		},
 		{
 			Name: service.Pause,
-			Needs: []string{service.Metrics, service.Config, service.Gate, service.Gossip, service.Ejection,
-				service.Observer},
+			Needs: []string{service.Metrics, service.Config, service.Gate, service.Ledger, service.Gossip,
+				service.Ejection, service.Observer},
 			Service: &pause.Service{Log: n.log("pause")},
 		},
 		{
@@ -162,11 +154,8 @@
 			Needs:   []string{service.Config, service.Peers, service.Metrics, service.Gossip, service.Observer},
 			Service: &gate.Service{VM: s.Name, Incarnation: n.incarnation, Log: n.log("gate")},
 		},
-		{
-			Name:    service.Ledger,
-			Needs:   []string{service.Config, service.Peers, service.Metrics},
-			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")},
-		},
+		{Name: service.Ledger, Needs: []string{service.Config, service.Peers, service.Metrics},
+			Service: &ledger.Service{VM: s.Name, Retention: s.KeyRetention, Log: n.log("ledger")}},
 		{
 			Name: service.Handoff,
 			Needs: []string{service.Config, service.Peers, service.Router, service.Ledger, service.Metrics,
@@ -213,3 +202,22 @@
 		},
 	}
 }
+
+// hangups delivers the signal on which credentials are read again.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+func (n *node) gossip() *gossip.Service {
+	s := n.settings
+	return &gossip.Service{
+		Conn: n.listeners.datagrams,
+		Self: member.Member{Name: s.Name, Region: s.Region, DataCentre: s.DataCentre, Address: s.Fleet,
+			Incarnation: n.incarnation},
+		Seeds:  s.Peers,
+		Random: n.random(),
+		Log:    n.log("gossip"),
+	}
+}
