--- a/lib/service/router/router_test.go
+++ b/lib/service/router/router_test.go
@@ -13,6 +13,7 @@
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/decision/member"
 	"cassiarack.example/lib/golden"
+	"cassiarack.example/lib/service/ejection"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -25,7 +26,7 @@
 func newRouter(t *testing.T) (*Service[choice.TwoChoices], *config.Service) {
 	t.Helper()
 	s := &Service[choice.TwoChoices]{DataCentre: "north-1", Random: rand.New(rand.NewPCG(1, 1))}
-	s.members = alive{}
+	s.members, s.ejection = alive{}, &ejection.Service{}
 	s.init()
 	svc := &config.Service{Name: "orders", Slots: 2}
 	for i, dc := range []string{"north-2", "north-1"} {
