Show the condition of instances in the status, and split the ejection duty

Change: a node reports ejected, trial and suspect instances with cause and age, and cold ones; an explanation ends with the last decisions about the service; the duty's commands are in files of their own; the type of one request in handoff has a usual name. Conclusion: status and explain show what the nodes decided.

--- a/lib/service/admin/decisions.go
+++ b/lib/service/admin/decisions.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -40,8 +39,5 @@
 			out.Instances[i] = m
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(out); err != nil {
-		s.Log.Debug("Decisions not sent.", "err", err)
-	}
+	s.writeJSON(w, out)
 }
--- a/lib/service/admin/explain.go
+++ b/lib/service/admin/explain.go
@@ -1,9 +1,13 @@
 package admin
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
+	"time"
 
 	"cassiarack.example/lib/decision/route"
+	"cassiarack.example/lib/service/ejection"
 	"cassiarack.example/lib/service/router"
 )
 
@@ -56,5 +60,26 @@
 		out.Candidates = append(out.Candidates, Candidate{Instance: x.Instance, DataCentre: x.DataCentre,
 			Weight: x.Weight, Outstanding: x.Outstanding, Others: x.Others})
 	}
+	out.Decisions = recent(s.ejection.Decisions(), rt.Service.Name)
 	s.writeJSON(w, out)
 }
+
+// explained bounds the decisions of an explanation.
+const explained = 10
+
+// recent renders the last decisions about the instances of a service, newest
+// first.
+func recent(all []ejection.Decision, service string) []Decision {
+	var out []Decision
+	for _, d := range slices.Backward(all) {
+		if d.Service != service || len(out) == explained {
+			continue
+		}
+		text := fmt.Sprintf("%s: %s, %d of %d requests bad, score %.2f", d.What, d.Cause, d.Bad, d.Samples, d.Score)
+		if d.Reason != "" {
+			text += "; " + d.Reason
+		}
+		out = append(out, Decision{At: d.At.Format(time.RFC3339), Instance: d.Instance, Text: text})
+	}
+	return out
+}
--- a/lib/service/admin/state.go
+++ b/lib/service/admin/state.go
@@ -10,6 +10,7 @@
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/ring"
 	configservice "cassiarack.example/lib/service/config"
+	"cassiarack.example/lib/service/ejection"
 	"cassiarack.example/lib/wire"
 )
 
@@ -56,9 +57,10 @@
 	Floor     int    `json:"floor"`
 	Leaving   int    `json:"leaving"`
 	Ejected   int    `json:"ejected"`
+	Trial     int    `json:"trial"`
 	Suspect   int    `json:"suspect"`
 	// Healthy counts instances of nodes that answered and that are neither
-	// leaving nor ejected.
+	// leaving, ejected nor on trial.
 	Healthy int `json:"healthy"`
 }
 
@@ -82,15 +84,52 @@
 	if err != nil {
 		return nil, err
 	}
+	now := time.Now()
 	for _, o := range occupancy {
-		out.Instances = append(out.Instances, &wire.InstanceReport{
+		i := &wire.InstanceReport{
 			Name: o.Instance, Service: o.Service, Slots: uint32(o.Slots), Running: uint32(o.Running),
-			Waiting: uint32(o.Waiting), Leaving: o.Leaving, Condition: conditionHealthy,
-		})
+			Waiting: uint32(o.Waiting), Leaving: o.Leaving, Cold: o.Cold,
+		}
+		s.judge(now, i)
+		out.Instances = append(out.Instances, i)
 	}
 	return out, nil
 }
 
+// judge fills in the condition of an instance, its cause and its age.
+func (s *Service) judge(now time.Time, i *wire.InstanceReport) {
+	i.Condition = condition(now, s.ejection.Snapshot(), i.GetName())
+	if i.GetCondition() == conditionHealthy {
+		return
+	}
+	for _, d := range slices.Backward(s.ejection.Decisions()) {
+		if d.Instance == i.GetName() {
+			i.Cause, i.Age = d.Cause, int64(now.Sub(d.At))
+			if d.Reason != "" {
+				i.Cause = d.Cause + "; " + d.Reason
+			}
+			return
+		}
+	}
+}
+
+// condition names how an instance stands out in a snapshot.
+func condition(now time.Time, s *ejection.Snapshot, instance string) string {
+	if s == nil {
+		return conditionHealthy
+	}
+	x := s.Instances[instance]
+	switch {
+	case x.Ejected && now.Before(x.Until):
+		return conditionEjected
+	case x.Trial > 0 && now.Before(x.Until):
+		return conditionTrial
+	case x.Local > 0:
+		return conditionSuspect
+	}
+	return conditionHealthy
+}
+
 // refused tells why the last revision after the one in force was not put in
 // force.
 func refused(st configservice.State) string {
@@ -107,6 +146,7 @@
 	conditionHealthy = "healthy"
 	conditionSuspect = "suspect"
 	conditionEjected = "ejected"
+	conditionTrial   = "trial"
 )
 
 // gather asks all nodes of the configuration.
@@ -205,6 +245,8 @@
 		s.Leaving++
 	case i.Condition == conditionEjected:
 		s.Ejected++
+	case i.Condition == conditionTrial:
+		s.Trial++
 	case i.Condition == conditionSuspect:
 		s.Suspect++
 		s.Healthy++
--- /dev/null
+++ b/lib/service/ejection/answers.go
@@ -0,0 +1,77 @@
+package ejection
+
+import (
+	"time"
+
+	"cassiarack.example/lib/decision/floor"
+	"cassiarack.example/lib/decision/health"
+	"cassiarack.example/lib/wire"
+)
+
+// reply is the answer of a holder to a report of this node.
+type reply struct {
+	instance string
+	answer   *wire.SuspectReply
+}
+
+func (c reply) apply(now time.Time, s *Service) { s.replied(now, c.instance, c.answer) }
+
+func (s *Service) replied(now time.Time, instance string, r *wire.SuspectReply) {
+	if r.GetCommon() {
+		s.duty.common[instance] = now
+		s.duty.changed = true
+	}
+}
+
+// opinion is the answer of a node that was asked about the way to an instance.
+type opinion struct {
+	instance, vm string
+	weight       int
+}
+
+func (c opinion) apply(now time.Time, s *Service) {
+	if s.duty.conf == nil || s.duty.conf.Instances[c.instance] == nil {
+		return
+	}
+	x := s.service(now, s.duty.conf.Instances[c.instance].Service.Name)
+	x.jury.Report(now, health.Suspicion{Instance: c.instance, Reporter: c.vm, Cause: health.CauseLink, Samples: c.weight})
+}
+
+// standings are the answer of a node that was asked for the scores of its own
+// instances.
+type standings struct {
+	service string
+	scores  []health.Standing
+}
+
+func (c standings) apply(now time.Time, s *Service) {
+	x := s.service(now, c.service)
+	if x == nil {
+		return
+	}
+	for _, st := range c.scores {
+		x.jury.Stand(now, st)
+	}
+}
+
+// heard are leases that other nodes know.
+type heard struct{ leases []floor.Lease }
+
+func (c heard) apply(now time.Time, s *Service) {
+	s.adopt(now)
+	for _, l := range c.leases {
+		x := s.service(now, l.Service)
+		if x == nil {
+			continue
+		}
+		if x.holder != nil && l.Holder == s.VM {
+			x.holder.Heard(now, l)
+		}
+		before := x.leases.Share(now, l.Instance)
+		if x.leases.Merge(now, l) {
+			s.duty.changed = true
+			s.note(now, l, before, x.leases.Share(now, l.Instance))
+		}
+	}
+	s.publish(now)
+}
--- a/lib/service/gate/inspect.go
+++ b/lib/service/gate/inspect.go
@@ -15,6 +15,8 @@
 	Running  int
 	Waiting  int
 	Leaving  bool
+	// Cold is set while the instance ramps up after a start.
+	Cold bool
 }
 
 // inspect asks for the occupancy of all instances.
@@ -22,7 +24,7 @@
 	call ring.Call[struct{}, []Occupancy]
 }
 
-func (c inspect) apply(_ time.Time, s *Service) {
+func (c inspect) apply(now time.Time, s *Service) {
 	var out []Occupancy
 	for _, i := range s.instances() {
 		d := s.desk(i.Name)
@@ -33,6 +35,7 @@
 			Running:  d.slots.Running(),
 			Waiting:  d.slots.Waiting(),
 			Leaving:  d.slots.Leaving,
+			Cold:     d.load(now).GetCold(),
 		})
 	}
 	c.call.Reply(out)
--- a/lib/service/handoff/handoff.go
+++ b/lib/service/handoff/handoff.go
@@ -92,7 +92,7 @@
 	if f := s.limitKeyed(req, rt, time.Now()); f != nil {
 		return nil, f
 	}
-	j := &journey{s: s, req: req, route: rt, body: newReplay(req.Body),
+	j := &job{s: s, req: req, route: rt, body: newReplay(req.Body),
 		weight: conf.Organisations[req.Organisation], key: s.claim(req, rt)}
 	answer, failure := j.run(ctx)
 	failure = j.key.end(failure)
--- a/lib/service/handoff/hedge.go
+++ b/lib/service/handoff/hedge.go
@@ -21,14 +21,14 @@
 }
 
 // mayHedge reports whether a second copy of the request may be made at all.
-func (j *journey) mayHedge() bool {
+func (j *job) mayHedge() bool {
 	return j.route.Idempotent && j.terms.HedgeAfter > 0 && j.gates > len(j.tried)
 }
 
 // hedged performs an attempt and, if its answer does not begin in the usual
 // time, a second one at another instance. The answer that begins first is the
 // caller's; the other copy is cancelled and its pieces are read by nobody.
-func (j *journey) hedged(ctx context.Context, first *attempt) (*request.Answer, *request.Failure) {
+func (j *job) hedged(ctx context.Context, first *attempt) (*request.Answer, *request.Failure) {
 	results := ring.New[result](copies)
 	hedging, stop := context.WithCancel(ctx)
 	defer stop()
@@ -69,7 +69,7 @@
 }
 
 // cancelOther ends the slower copy.
-func (j *journey) cancelOther(winner result, first *attempt, stop func(), launched chan *attempt) {
+func (j *job) cancelOther(winner result, first *attempt, stop func(), launched chan *attempt) {
 	if winner.hedge {
 		j.s.scope.Counter("hedges_won").Inc(1)
 		first.cancel()
@@ -102,7 +102,7 @@
 
 // hedge is the duty that makes the second copy when it is due. It ends without
 // one when hedging is done.
-func (j *journey) hedge(hedging, ctx context.Context, first *attempt, launched chan<- *attempt) result {
+func (j *job) hedge(hedging, ctx context.Context, first *attempt, launched chan<- *attempt) result {
 	select {
 	case <-first.begun:
 	case <-hedging.Done():
--- a/lib/service/handoff/moves.go
+++ b/lib/service/handoff/moves.go
@@ -13,9 +13,9 @@
 	"cassiarack.example/lib/service/router"
 )
 
-// journey is one request on its way from gate to gate. It is used by the
+// job is one request on its way from gate to gate. It is used by the
 // goroutine of the caller.
-type journey struct {
+type job struct {
 	s     *Service
 	req   *request.Request
 	route route.Route
@@ -38,13 +38,13 @@
 }
 
 // fresh identifies the request to the router's budgets.
-func (j *journey) fresh() router.Fresh {
+func (j *job) fresh() router.Fresh {
 	return router.Fresh{Service: j.route.Service, Route: j.route.Name(j.req.Method),
 		Organisation: j.req.Organisation, Weight: j.weight, Remaining: time.Until(j.req.Deadline)}
 }
 
 // run offers the request to one gate after the other.
-func (j *journey) run(ctx context.Context) (*request.Answer, *request.Failure) {
+func (j *job) run(ctx context.Context) (*request.Answer, *request.Failure) {
 	var err error
 	if j.terms, err = j.s.router.Begin(ctx, j.fresh()); err != nil {
 		return nil, notRun(request.ReasonOverload, err.Error())
@@ -88,7 +88,7 @@
 var errNoGate = errors.New("all gates were tried")
 
 // choose returns the instance for a move.
-func (j *journey) choose(ctx context.Context, m retry.Move) (*config.Instance, error) {
+func (j *job) choose(ctx context.Context, m retry.Move) (*config.Instance, error) {
 	if m.Again {
 		j.tried = slices.Clone(j.failed)
 	}
@@ -106,12 +106,12 @@
 	return inst, err
 }
 
-func (j *journey) query() router.Query {
+func (j *job) query() router.Query {
 	return router.Query{Service: j.route.Service, Idempotent: j.route.Idempotent, Exclude: j.tried}
 }
 
 // attempt hands the request to the gate of inst, with a hedge if one may be due.
-func (j *journey) attempt(ctx context.Context, inst *config.Instance, m retry.Move) (*request.Answer, *request.Failure) {
+func (j *job) attempt(ctx context.Context, inst *config.Instance, m retry.Move) (*request.Answer, *request.Failure) {
 	a := j.newAttempt(ctx, inst)
 	j.patience = m.Patience(j.terms.Expected, time.Until(j.req.Deadline))
 	a.patience = j.patience
@@ -121,7 +121,7 @@
 	return j.hedged(ctx, a)
 }
 
-func (j *journey) newAttempt(ctx context.Context, inst *config.Instance) *attempt {
+func (j *job) newAttempt(ctx context.Context, inst *config.Instance) *attempt {
 	a := j.s.newAttempt(ctx, j.req, j.route, inst, j.body)
 	a.expected, a.begun, a.key = j.terms.Expected, make(chan struct{}), j.key
 	return a
@@ -129,7 +129,7 @@
 
 // goOn reports whether another gate is to be tried. A refusal took no capacity,
 // so that the request moves on; a failure draws on the retry budget.
-func (j *journey) goOn(ctx context.Context, f *request.Failure) bool {
+func (j *job) goOn(ctx context.Context, f *request.Failure) bool {
 	if !mayRetry(f, j.route.Idempotent, j.body, j.timeLeft()) || ctx.Err() != nil {
 		return false
 	}
@@ -148,7 +148,7 @@
 }
 
 // timeLeft reports whether the time left allows a run of the expected length.
-func (j *journey) timeLeft() bool { return time.Until(j.req.Deadline) > j.terms.Expected }
+func (j *job) timeLeft() bool { return time.Until(j.req.Deadline) > j.terms.Expected }
 
 // fullReasons are the refusals of gates that have no capacity left.
 var fullReasons = map[request.Reason]bool{request.ReasonFull: true, request.ReasonShare: true,
@@ -157,7 +157,7 @@
 // end returns the failure that the caller is told after the last attempt. A
 // request that could wait for less than one run does not show that the gates are
 // full.
-func (j *journey) end(ctx context.Context, f *request.Failure) *request.Failure {
+func (j *job) end(ctx context.Context, f *request.Failure) *request.Failure {
 	if fullReasons[f.Reason] && j.patience >= j.terms.Expected {
 		t, err := j.s.router.Full(context.WithoutCancel(ctx), j.fresh())
 		if err == nil {
--- a/operator/explain_command.go
+++ b/operator/explain_command.go
@@ -57,6 +57,6 @@
 		fmt.Println()
 	}
 	for _, d := range e.Decisions {
-		fmt.Printf("  %s %s\n", d.At, d.Text)
+		fmt.Printf("  %s %s %s\n", d.At, d.Instance, d.Text)
 	}
 }
--- a/operator/status_command.go
+++ b/operator/status_command.go
@@ -66,15 +66,15 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "asked %s: revision %d, %d nodes, %d silent, %d behind\n", s.Asked, s.Revision, len(s.Nodes),
 		s.Silent, s.Behind)
-	fmt.Fprintf(&b, "%-20s %9s %7s %7s %7s %7s %6s %6s\n", "service", "instances", "healthy", "suspect", "ejected",
-		"leaving", "floor", "room")
+	fmt.Fprintf(&b, "%-20s %9s %7s %7s %7s %7s %7s %6s %6s\n", "service", "instances", "healthy", "suspect", "ejected",
+		"trial", "leaving", "floor", "room")
 	for _, v := range s.Services {
 		room := fmt.Sprint(v.Healthy - v.Floor)
 		if v.Healthy <= v.Floor {
 			room = paint(yellow, fmt.Sprintf("%6d", v.Healthy-v.Floor))
 		}
-		fmt.Fprintf(&b, "%-20s %9d %7d %7d %7d %7d %6d %6s\n", v.Name, v.Instances, v.Healthy, v.Suspect, v.Ejected,
-			v.Leaving, v.Floor, room)
+		fmt.Fprintf(&b, "%-20s %9d %7d %7d %7d %7d %7d %6d %6s\n", v.Name, v.Instances, v.Healthy, v.Suspect, v.Ejected,
+			v.Trial, v.Leaving, v.Floor, room)
 	}
 	for _, n := range s.Nodes {
 		renderNode(&b, s, n)
