--- a/lib/service/handoff/hedge.go
+++ b/lib/service/handoff/hedge.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"cassiarack.example/lib/clock"
+
 	"cassiarack.example/lib/decision/retry"
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/ring"
@@ -110,7 +112,7 @@
 	case <-first.ctx.Done():
 		return notMade("the first copy ended")
 	}
-	if !sleep(hedging, j.terms.HedgeAfter) || !j.body.whole(first.sender) {
+	if !clock.Sleep(hedging, j.terms.HedgeAfter) || !j.body.whole(first.sender) {
 		return notMade("not due")
 	}
 	if t, err := j.s.router.Hedge(hedging, j.fresh()); err != nil || !t.Allowed {
--- a/lib/service/handoff/moves.go
+++ b/lib/service/handoff/moves.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"cassiarack.example/lib/clock"
+
 	"cassiarack.example/lib/decision/config"
 	"cassiarack.example/lib/decision/retry"
 	"cassiarack.example/lib/decision/route"
@@ -144,7 +146,7 @@
 	}
 	j.s.scope.Counter("retries").Inc(1)
 	j.retries++
-	return sleep(ctx, t.Delay)
+	return clock.Sleep(ctx, t.Delay)
 }
 
 // timeLeft reports whether the time left allows a run of the expected length.
@@ -166,15 +168,3 @@
 	}
 	return f
 }
-
-// sleep waits before a retry. It reports false when the caller's time is over.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lib/service/reader/reader.go
+++ b/lib/service/reader/reader.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"cassiarack.example/lib/clock"
+
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
@@ -127,14 +129,14 @@
 
 // watch reads while the node has the role.
 func (s *Service) watch(ctx context.Context, w watched) {
-	if s.config.Known() == nil && !s.sleep(ctx, s.random(startSpread)) {
+	if s.config.Known() == nil && !clock.Sleep(ctx, s.random(startSpread)) {
 		return
 	}
 	failures := 0
 	for ctx.Err() == nil {
 		if !s.role(time.Now()) {
 			w.reset()
-			s.sleep(ctx, roleInterval)
+			clock.Sleep(ctx, roleInterval)
 			continue
 		}
 		err := w.read(ctx)
@@ -147,7 +149,7 @@
 			wait := s.backoff(failures)
 			s.Log.Warn("Read failed.", "failures", failures, "wait", wait, "err", err)
 			w.reset()
-			s.sleep(ctx, wait)
+			clock.Sleep(ctx, wait)
 		}
 	}
 }
@@ -167,7 +169,7 @@
 	wait := s.budget.Take(time.Now())
 	s.mu.Unlock()
 	s.scope.Counter("reads").Inc(1)
-	if wait > 0 && !s.sleep(ctx, wait) {
+	if wait > 0 && !clock.Sleep(ctx, wait) {
 		return ctx.Err()
 	}
 	return nil
@@ -185,18 +187,6 @@
 	return time.Duration(s.Random.Int64N(int64(longest)))
 }
 
-// sleep reports whether the time passed before ctx was done.
-func (s *Service) sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // manifests watches the configuration.
 type manifests struct {
 	s *Service
--- a/operator/status_command.go
+++ b/operator/status_command.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"cassiarack.example/lib/clock"
+
 	"github.com/peterbourgon/ff/v4"
 
 	"cassiarack.example/lib/service/admin"
@@ -154,7 +156,7 @@
 			if len(behind) == 0 {
 				return nil
 			}
-			if !sleep(ctx) {
+			if !clock.Sleep(ctx, pollInterval) {
 				return finding("not in force on: %s", strings.Join(behind, ", "))
 			}
 			continue
@@ -177,17 +179,6 @@
 	return out
 }
 
-func sleep(ctx context.Context) bool {
-	t := time.NewTimer(pollInterval)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func watchCommand() *ff.Command {
 	f := newNodeFlags("watch")
 	return &ff.Command{
@@ -212,7 +203,7 @@
 					clearScreen()
 					fmt.Print(time.Now().Format(time.TimeOnly), " ", renderState(s))
 				}
-				if !sleep(ctx) {
+				if !clock.Sleep(ctx, pollInterval) {
 					return nil
 				}
 			}
--- a/standin/demo_command.go
+++ b/standin/demo_command.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"cassiarack.example/lib/clock"
+
 	"github.com/peterbourgon/ff/v4"
 
 	"cassiarack.example/standin/backend"
@@ -65,7 +67,7 @@
 	}
 	fmt.Printf("%s: %d nodes in %d data centres serve after %v; logs in %s\n", d.Name, len(f.VMs),
 		len(d.DataCentres), time.Since(begin).Round(time.Millisecond), folder)
-	if !wait(ctx, demoWarmUp) {
+	if !clock.Sleep(ctx, demoWarmUp) {
 		return errors.Join(ctx.Err(), f.Stop())
 	}
 	gray := f.VMs[len(f.VMs)-1]
@@ -83,18 +85,6 @@
 	return ctx.Err()
 }
 
-// wait reports false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func demoPlan(d fleet.Deployment, gray string, seed uint64) load.Plan {
 	p := load.Plan{
 		Seed:    seed,
--- a/standin/experiment/cost.go
+++ b/standin/experiment/cost.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"cassiarack.example/lib/clock"
+
 	"cassiarack.example/standin/fleet"
 	"cassiarack.example/standin/load"
 )
@@ -29,7 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
-		rest, err := spend(f, func() { wait(ctx, costTime) })
+		rest, err := spend(f, func() { clock.Sleep(ctx, costTime) })
 		if err != nil {
 			return nil, err
 		}
@@ -65,15 +67,6 @@
 
 func every(*load.Group) bool { return true }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // spent is what all nodes spent during a call.
 type spent struct {
 	processor time.Duration
