--- a/lib/decision/health/jury.go
+++ b/lib/decision/health/aggregator.go
@@ -13,22 +13,22 @@
 	Cause      Cause
 	Hypothesis Hypothesis
 	// Samples, Bad, Score and Siblings are those of the Verdict. A score of
-	// 0 is an opinion in favour of the instance.
+	// 0 is an linkReport in favour of the instance.
 	Samples, Bad, Siblings int
 	Score, Raw             float64
 	// Since is when the evidence began.
 	Since time.Time
 }
 
-// Ruling is the decision about a suspicion.
-type Ruling struct {
+// Decision is the decision about a suspicion.
+type Decision struct {
 	// Upheld is set when the evidence is enough to ask for a token.
 	Upheld bool
 	// Reason tells why not.
 	Reason string
 }
 
-// Reasons of a Ruling against a suspicion.
+// Reasons of a Decision against a suspicion.
 const (
 	ReasonWeak     = "evidence below the threshold"
 	ReasonOneVM    = "only one VM without an answer: the link is suspected"
@@ -39,8 +39,8 @@
 )
 
 const (
-	// opinionAge is how long a report counts.
-	opinionAge = 5 * time.Second
+	// linkReportAge is how long a report counts.
+	linkReportAge = 5 * time.Second
 	// minReporters is the least number of VMs that must agree where the gate
 	// itself does not speak.
 	minReporters = 2
@@ -63,37 +63,37 @@
 	// minCrowdWindow is the least time before the evidence in which errors of
 	// other instances count.
 	minCrowdWindow = time.Second
-	// crowdAge is how long a standing counts. Holders ask anew in less.
+	// crowdAge is how long a scoreReport counts. Holders ask anew in less.
 	crowdAge = time.Second
 	// minSiblings is the least number of observations of siblings at a reporter
 	// where no other gate answers the holder.
 	minSiblings = 2
 )
 
-// Jury gathers the reports about the instances of one service at a holder.
-type Jury struct {
-	reports   map[string]map[reporter]report
-	standings map[string]standing
+// Aggregator gathers the reports about the instances of one service at a holder.
+type Aggregator struct {
+	reports      map[string]map[reporter]report
+	scoreReports map[string]scoreReport
 }
 
-// Standing is the score of an instance as its gate sees it, without the
+// ScoreReport is the score of an instance as its gate sees it, without the
 // comparison with its siblings. Holders ask for it before they decide.
-type Standing struct {
+type ScoreReport struct {
 	Instance string
 	Raw      float64
 }
 
-type standing struct {
+type scoreReport struct {
 	raw float64
 	at  time.Time
 }
 
-// Stand records the standing of an instance.
-func (j *Jury) Stand(now time.Time, s Standing) {
-	if j.standings == nil {
-		j.standings = make(map[string]standing)
+// AddScore records the scoreReport of an instance.
+func (j *Aggregator) AddScore(now time.Time, s ScoreReport) {
+	if j.scoreReports == nil {
+		j.scoreReports = make(map[string]scoreReport)
 	}
-	j.standings[s.Instance] = standing{raw: s.Raw, at: now}
+	j.scoreReports[s.Instance] = scoreReport{raw: s.Raw, at: now}
 }
 
 // reporter is a VM in one of its roles.
@@ -111,7 +111,7 @@
 
 // Report records what a node says. A later report of the same node about the
 // same instance in the same role replaces the earlier one.
-func (j *Jury) Report(now time.Time, s Suspicion) {
+func (j *Aggregator) Report(now time.Time, s Suspicion) {
 	if j.reports == nil {
 		j.reports = make(map[string]map[reporter]report)
 	}
@@ -131,23 +131,23 @@
 	m[k] = r
 }
 
-// Rule decides whether the evidence against an instance is enough. Instances is
+// Decide decides whether the evidence against an instance is enough. Instances is
 // the size of the service.
-func (j *Jury) Rule(now time.Time, instance string, instances int) Ruling {
+func (j *Aggregator) Decide(now time.Time, instance string, instances int) Decision {
 	t := j.count(now, instance)
 	switch {
 	case t.gate != nil:
 		return j.compare(now, *t.gate, instances)
 	case t.links >= minReporters && t.links > t.inFavour && t.linkSum >= minLinkSum:
-		return Ruling{Upheld: true}
+		return Decision{Upheld: true}
 	case t.servers >= minReporters:
 		return j.compare(now, *t.server, instances)
 	case t.links+t.servers == 1:
-		return Ruling{Reason: ReasonOneVM}
+		return Decision{Reason: ReasonOneVM}
 	case t.links > 0 && t.links <= t.inFavour:
-		return Ruling{Reason: ReasonMinority}
+		return Decision{Reason: ReasonMinority}
 	}
-	return Ruling{Reason: ReasonWeak}
+	return Decision{Reason: ReasonWeak}
 }
 
 // tally sums the reports about an instance.
@@ -160,11 +160,11 @@
 	linkSum                  float64
 }
 
-func (j *Jury) count(now time.Time, instance string) tally {
+func (j *Aggregator) count(now time.Time, instance string) tally {
 	var t tally
 	for k, r := range j.reports[instance] {
 		switch {
-		case now.Sub(r.at) > opinionAge:
+		case now.Sub(r.at) > linkReportAge:
 			delete(j.reports[instance], k)
 		case r.Cause == CauseLink && r.Score >= LinkReport:
 			t.links++
@@ -186,17 +186,17 @@
 }
 
 // compare checks a report against what is known of the other instances.
-func (j *Jury) compare(now time.Time, r report, instances int) Ruling {
+func (j *Aggregator) compare(now time.Time, r report, instances int) Decision {
 	crowd, heard := j.crowd(now, r.Instance)
 	switch {
 	case now.Sub(r.strong) < settle(r):
-		return Ruling{Reason: ReasonSettling}
+		return Decision{Reason: ReasonSettling}
 	case crowdPart*crowd >= instances-1 && instances > 1:
-		return Ruling{Reason: ReasonService}
+		return Decision{Reason: ReasonService}
 	case r.Siblings < minSiblings && heard == 0:
-		return Ruling{Reason: ReasonSiblings}
+		return Decision{Reason: ReasonSiblings}
 	}
-	return Ruling{Upheld: true}
+	return Decision{Upheld: true}
 }
 
 // settle returns how long a report must stand.
@@ -205,14 +205,14 @@
 	return min(max(settleRequests*gap, minSettle), maxSettle)
 }
 
-// crowd counts the other instances whose standing is known and those of them
+// crowd counts the other instances whose scoreReport is known and those of them
 // that stand out. In a fault of the whole service, the first instance to reach
 // the threshold is surrounded by many that are on their way.
-func (j *Jury) crowd(now time.Time, instance string) (crowd, heard int) {
-	for name, x := range j.standings {
+func (j *Aggregator) crowd(now time.Time, instance string) (crowd, heard int) {
+	for name, x := range j.scoreReports {
 		switch {
 		case now.Sub(x.at) > crowdAge:
-			delete(j.standings, name)
+			delete(j.scoreReports, name)
 		case name != instance:
 			heard++
 			if x.raw >= crowdScore {
@@ -226,7 +226,7 @@
 // Since returns the time from which errors of other instances count for the
 // crowd. It lies as long before the evidence against an instance as that is old,
 // since the instance that fails first of many fails often in a short time.
-func (j *Jury) Since(now time.Time, instance string) time.Time {
+func (j *Aggregator) Since(now time.Time, instance string) time.Time {
 	since := now
 	for _, r := range j.reports[instance] {
 		if r.Score >= 1 && r.Since.Before(since) {
@@ -237,18 +237,18 @@
 }
 
 // Forget drops the reports about an instance.
-func (j *Jury) Forget(instance string) { delete(j.reports, instance) }
+func (j *Aggregator) Forget(instance string) { delete(j.reports, instance) }
 
-// Standings returns the standings of the instances of a service whose gates are
+// ScoreReports returns the scoreReports of the instances of a service whose gates are
 // on this VM and saw requests lately. An instance that failed a request after
 // the given time belongs to the crowd: where a whole service fails, the usual
 // share of errors soon rises, and with it the scores of all instances fall.
-func (d *Detector[S, P]) Standings(now time.Time, service string, since time.Time) []Standing {
-	var out []Standing
+func (d *Detector[S, P]) ScoreReports(now time.Time, service string, since time.Time) []ScoreReport {
+	var out []ScoreReport
 	for _, i := range d.order {
 		t := &i.tracks[SourceGate]
-		if i.label == service && now.Sub(t.last) <= opinionAge {
-			x := Standing{Instance: i.name, Raw: t.alone}
+		if i.label == service && now.Sub(t.last) <= linkReportAge {
+			x := ScoreReport{Instance: i.name, Raw: t.alone}
 			if t.failed.After(since) {
 				x.Raw = max(x.Raw, crowdScore)
 			}
@@ -258,10 +258,10 @@
 	return out
 }
 
-// Opinion reports whether this node, as an entry, got an answer from the gate of
+// LinkReport reports whether this node, as an entry, got an answer from the gate of
 // an instance after the given time. Such a node speaks for the instance when
 // others report silence.
-func (d *Detector[S, P]) Opinion(name string, since time.Time) bool {
+func (d *Detector[S, P]) LinkReport(name string, since time.Time) bool {
 	i, ok := d.instances[name]
 	return ok && i.link.heard.After(since)
 }
--- a/lib/decision/health/day_test.go
+++ b/lib/decision/health/day_test.go
@@ -71,7 +71,7 @@
 			s := newStream[SequentialState](7, threshold(), d.shapes, rate)
 			wrong := day(s, length)
 			c := newStream[ConsecutiveState](7, Consecutive{Errors: 5}, d.shapes, rate)
-			c.jury = false
+			c.aggregator = false
 			base := day(c, length)
 			fmt.Fprintf(&b, "%-14s at most %2.0f/s, %v, %d requests: false ejections %v; baseline %v\n", d.name, rate, length,
 				s.requests, wrong, base)
--- a/lib/decision/health/detector.go
+++ b/lib/decision/health/detector.go
@@ -49,9 +49,9 @@
 	errors errorCounts
 	// seen counts the observations of the entry.
 	seen int
-	// judged and standing count the instances with recent evidence and those of
+	// judged and scoreReport count the instances with recent evidence and those of
 	// them that stand out, at the last judgement.
-	judged, standing int
+	judged, scoreReport int
 }
 
 // instance is what was observed of an instance.
@@ -186,7 +186,7 @@
 		return links
 	}
 	for _, s := range d.services {
-		s.judged, s.standing = 0, 0
+		s.judged, s.scoreReport = 0, 0
 	}
 	for _, i := range d.order {
 		d.score(now, i)
@@ -227,7 +227,7 @@
 		if Source(from) == SourceEntry {
 			i.service.judged++
 			if t.score.Value >= crowdScore {
-				i.service.standing++
+				i.service.scoreReport++
 			}
 		}
 	}
@@ -237,14 +237,14 @@
 // fault is one of the service. It compares with most instances and not with the
 // mean, as several instances may be faulty at once.
 func (i *instance[S]) isCommon() bool {
-	others, standing := i.service.judged, i.service.standing
+	others, scoreReport := i.service.judged, i.service.scoreReport
 	if e := i.tracks[SourceEntry].score; !e.Since.IsZero() {
 		others--
 		if e.Value >= crowdScore {
-			standing--
+			scoreReport--
 		}
 	}
-	return standing > 0 && crowdPart*standing >= others
+	return scoreReport > 0 && crowdPart*scoreReport >= others
 }
 
 func (d *Detector[S, P]) verdict(now time.Time, i *instance[S], from Source) (Verdict, bool) {
--- a/lib/decision/health/measure_test.go
+++ b/lib/decision/health/measure_test.go
@@ -105,7 +105,7 @@
 					quantile(times, 0.5).Seconds(), quantile(times, 0.99).Seconds(), wrong)
 				if long() {
 					c := newStream[ConsecutiveState](uint64(i+1), Consecutive{Errors: 5}, d.shapes, rate)
-					c.jury = false
+					c.aggregator = false
 					base, baseWrong := detections(c, f, trials)
 					fmt.Fprintf(&b, "; baseline p50 %6.1f s p99 %6.1f s wrong %d", quantile(base, 0.5).Seconds(),
 						quantile(base, 0.99).Seconds(), baseWrong)
--- a/lib/decision/health/stream_test.go
+++ b/lib/decision/health/stream_test.go
@@ -60,8 +60,8 @@
 // group is a service of a stream.
 type group[S any, P Policy[S]] struct {
 	shape
-	servers []*server[S, P]
-	jury    Jury
+	servers    []*server[S, P]
+	aggregator Aggregator
 	// slow multiplies the times of all instances, errors adds to their errors.
 	slow, errors float64
 }
@@ -78,8 +78,8 @@
 	id      uint64
 	judged  time.Time
 	arrival time.Time
-	// jury is unset for policies that eject by themselves.
-	jury bool
+	// aggregator is unset for policies that eject by themselves.
+	aggregator bool
 	// paced arrivals have equal gaps instead of exponential ones.
 	paced bool
 	// found is called for each instance that the evidence is enough against.
@@ -112,7 +112,7 @@
 }
 
 func newStream[S any, P Policy[S]](seed uint64, policy P, shapes []shape, rate float64) *stream[S, P] {
-	s := &stream[S, P]{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), rate: rate, jury: true,
+	s := &stream[S, P]{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), rate: rate, aggregator: true,
 		found: func(*server[S, P], Verdict) {}}
 	s.judged, s.arrival = s.now, s.now
 	for _, sh := range shapes {
@@ -235,7 +235,7 @@
 		Source: from, Kind: k, ID: id, Time: took, Cold: s.now.Before(x.cold)})
 }
 
-// judge asks all detectors and the jury of each service, which stands at the
+// judge asks all detectors and the aggregator of each service, which stands at the
 // first instance.
 func (s *stream[S, P]) judge() {
 	suspects := make(map[*server[S, P]]Verdict)
@@ -245,28 +245,28 @@
 				continue
 			}
 			x := s.find(v)
-			x.service.jury.Report(s.now, Suspicion{Instance: v.Instance, Reporter: reporter.name,
+			x.service.aggregator.Report(s.now, Suspicion{Instance: v.Instance, Reporter: reporter.name,
 				Gate: v.Source == SourceGate, Cause: v.Cause, Hypothesis: v.Hypothesis, Score: v.Score, Raw: v.Raw,
 				Samples: v.Samples, Siblings: v.Siblings, Since: v.Since})
 			if v.Cause == CauseLink {
-				s.opinions(x, v.Since)
+				s.linkReports(x, v.Since)
 			}
 			suspects[x] = v
 		}
 	}
 	for x, v := range suspects {
 		for _, y := range x.service.servers {
-			for _, st := range y.detector.Standings(s.now, x.service.name, x.service.jury.Since(s.now, x.name)) {
-				x.service.jury.Stand(s.now, st)
+			for _, st := range y.detector.ScoreReports(s.now, x.service.name, x.service.aggregator.Since(s.now, x.name)) {
+				x.service.aggregator.AddScore(s.now, st)
 			}
 		}
-		if !s.jury {
+		if !s.aggregator {
 			if v.Score >= 1 {
 				s.found(x, v)
 			}
 			continue
 		}
-		switch r := x.service.jury.Rule(s.now, x.name, x.service.count); {
+		switch r := x.service.aggregator.Decide(s.now, x.name, x.service.count); {
 		case r.Upheld:
 			s.found(x, v)
 		case r.Reason == ReasonService:
@@ -275,11 +275,11 @@
 	}
 }
 
-// opinions asks the other nodes about the way to an instance.
-func (s *stream[S, P]) opinions(x *server[S, P], since time.Time) {
+// linkReports asks the other nodes about the way to an instance.
+func (s *stream[S, P]) linkReports(x *server[S, P], since time.Time) {
 	for _, node := range s.all {
-		if node.detector.Opinion(x.name, since) {
-			x.service.jury.Report(s.now, Suspicion{Instance: x.name, Reporter: node.name, Cause: CauseLink})
+		if node.detector.LinkReport(x.name, since) {
+			x.service.aggregator.Report(s.now, Suspicion{Instance: x.name, Reporter: node.name, Cause: CauseLink})
 		}
 	}
 }
@@ -298,5 +298,5 @@
 	for _, n := range s.all {
 		n.detector.Reset(x.name)
 	}
-	x.service.jury.Forget(x.name)
+	x.service.aggregator.Forget(x.name)
 }
--- a/lib/service/ejection/answers.go
+++ b/lib/service/ejection/answers.go
@@ -23,34 +23,34 @@
 	}
 }
 
-// opinion is the answer of a node that was asked about the way to an instance.
-type opinion struct {
+// linkReport is the answer of a node that was asked about the way to an instance.
+type linkReport struct {
 	instance, vm string
 	weight       int
 }
 
-func (c opinion) apply(now time.Time, s *Service) {
+func (c linkReport) apply(now time.Time, s *Service) {
 	if s.duty.conf == nil || s.duty.conf.Instances[c.instance] == nil {
 		return
 	}
 	x := s.service(now, s.duty.conf.Instances[c.instance].Service.Name)
-	x.jury.Report(now, health.Suspicion{Instance: c.instance, Reporter: c.vm, Cause: health.CauseLink, Samples: c.weight})
+	x.aggregator.Report(now, health.Suspicion{Instance: c.instance, Reporter: c.vm, Cause: health.CauseLink, Samples: c.weight})
 }
 
-// standings are the answer of a node that was asked for the scores of its own
+// scoreReports are the answer of a node that was asked for the scores of its own
 // instances.
-type standings struct {
+type scoreReports struct {
 	service string
-	scores  []health.Standing
+	scores  []health.ScoreReport
 }
 
-func (c standings) apply(now time.Time, s *Service) {
+func (c scoreReports) apply(now time.Time, s *Service) {
 	x := s.service(now, c.service)
 	if x == nil {
 		return
 	}
 	for _, st := range c.scores {
-		x.jury.Stand(now, st)
+		x.aggregator.AddScore(now, st)
 	}
 }
 
--- a/lib/service/ejection/duty.go
+++ b/lib/service/ejection/duty.go
@@ -26,7 +26,7 @@
 	cleanEvery = time.Second
 	// maxGap is the longest time between two ticks that is no pause.
 	maxGap = 500 * time.Millisecond
-	// commonMemory is how long a ruling that a fault is common is published.
+	// commonMemory is how long a decision that a fault is common is published.
 	commonMemory = 10 * time.Second
 	// selfMemory is how long the node suspects itself after the last verdict.
 	selfMemory = 2 * time.Second
@@ -53,8 +53,8 @@
 	assignment *floor.Assignment
 	leases     floor.Leases
 	// holder is nil where this VM holds no token.
-	holder *floor.Holder
-	jury   health.Jury
+	holder     *floor.Holder
+	aggregator health.Aggregator
 	// upheld is since when the evidence against an instance is enough.
 	upheld map[string]time.Time
 	asked  map[string]time.Time
@@ -320,20 +320,20 @@
 		return &wire.SuspectReply{}
 	}
 	in := fromSuspicion(now, m)
-	x.jury.Report(now, in)
+	x.aggregator.Report(now, in)
 	if in.Cause == health.CauseLink {
-		s.askOpinions(now, x, in)
+		s.askLinkReports(now, x, in)
 	}
 	if in.Score >= 1 && in.Cause != health.CauseLink {
-		s.askStandings(now, x, in)
+		s.askScoreReports(now, x, in)
 	}
-	ruling := x.jury.Rule(now, in.Instance, len(s.duty.conf.Services[x.assignment.Service].Instances))
-	if !ruling.Upheld {
+	decision := x.aggregator.Decide(now, in.Instance, len(s.duty.conf.Services[x.assignment.Service].Instances))
+	if !decision.Upheld {
 		delete(x.upheld, in.Instance)
 		if in.Score >= 1 {
-			s.refused(now, x, in, ruling.Reason)
+			s.refused(now, x, in, decision.Reason)
 		}
-		return &wire.SuspectReply{Reason: ruling.Reason, Common: ruling.Reason == health.ReasonService}
+		return &wire.SuspectReply{Reason: decision.Reason, Common: decision.Reason == health.ReasonService}
 	}
 	return s.eject(now, x, in)
 }
@@ -375,7 +375,7 @@
 		s.refused(now, x, in, reason)
 		return &wire.SuspectReply{Reason: reason + " " + r.Detail}
 	}
-	x.jury.Forget(in.Instance)
+	x.aggregator.Forget(in.Instance)
 	delete(x.upheld, in.Instance)
 	if x.leases.Merge(now, r.Lease) {
 		s.duty.changed = true
--- a/lib/service/ejection/send.go
+++ b/lib/service/ejection/send.go
@@ -21,25 +21,25 @@
 	askedNodes = 8
 	// askedSiblings bounds the nodes that are asked for the scores of a service.
 	askedSiblings = 32
-	// standingEvery is the time between two rounds of questions about a service.
-	standingEvery = 300 * time.Millisecond
+	// scoreReportEvery is the time between two rounds of questions about a service.
+	scoreReportEvery = 300 * time.Millisecond
 	// askEvery is the time between two rounds of questions about an instance.
 	askEvery = time.Second
 )
 
 // job is one message to another node. One of its fields is set.
 type job struct {
-	to        netip.AddrPort
-	suspicion *wire.Suspicion
-	leases    *wire.LeaseSet
-	question  *question
-	standing  *wire.StandingRequest
+	to          netip.AddrPort
+	suspicion   *wire.Suspicion
+	leases      *wire.LeaseSet
+	question    *question
+	scoreReport *wire.ScoreReportRequest
 }
 
 // question asks a node about the way to an instance.
 type question struct {
 	vm     string
-	ask    *wire.OpinionRequest
+	ask    *wire.LinkReportRequest
 	weight int
 }
 
@@ -78,22 +78,22 @@
 	case j.leases != nil:
 		_, err := wire.NewDRPCEjectionClient(conn).Share(ctx, j.leases)
 		return err
-	case j.standing != nil:
-		r, err := wire.NewDRPCObservationClient(conn).Standing(ctx, j.standing)
+	case j.scoreReport != nil:
+		r, err := wire.NewDRPCObservationClient(conn).ScoreReport(ctx, j.scoreReport)
 		if err != nil {
 			return err
 		}
-		c := standings{service: j.standing.GetService()}
+		c := scoreReports{service: j.scoreReport.GetService()}
 		for _, x := range r.GetInstances() {
-			c.scores = append(c.scores, health.Standing{Instance: x.GetInstance(), Raw: x.GetRaw()})
+			c.scores = append(c.scores, health.ScoreReport{Instance: x.GetInstance(), Raw: x.GetRaw()})
 		}
 		return s.commands.Offer(c)
 	default:
-		r, err := wire.NewDRPCObservationClient(conn).Opinion(ctx, j.question.ask)
+		r, err := wire.NewDRPCObservationClient(conn).LinkReport(ctx, j.question.ask)
 		if err != nil || !r.GetAnswers() {
 			return err
 		}
-		return s.commands.Offer(opinion{instance: j.question.ask.GetInstance(), vm: j.question.vm, weight: j.question.weight})
+		return s.commands.Offer(linkReport{instance: j.question.ask.GetInstance(), vm: j.question.vm, weight: j.question.weight})
 	}
 }
 
@@ -120,14 +120,14 @@
 	}
 }
 
-// askOpinions asks some nodes whether an instance answers them.
-func (s *Service) askOpinions(now time.Time, x *serviceState, in health.Suspicion) {
+// askLinkReports asks some nodes whether an instance answers them.
+func (s *Service) askLinkReports(now time.Time, x *serviceState, in health.Suspicion) {
 	if now.Sub(x.asked[in.Instance]) < askEvery {
 		return
 	}
 	x.asked[in.Instance] = now
 	vms, all := s.others(askedNodes)
-	ask := &wire.OpinionRequest{Instance: in.Instance, Age: int64(now.Sub(in.Since))}
+	ask := &wire.LinkReportRequest{Instance: in.Instance, Age: int64(now.Sub(in.Since))}
 	for _, v := range vms {
 		// Each asked node stands for its part of the fleet.
 		q := &question{vm: v, ask: ask, weight: max(1, all/len(vms))}
@@ -135,17 +135,17 @@
 	}
 }
 
-// askStandings asks the gates of a service, this VM's own among them, how their
+// askScoreReports asks the gates of a service, this VM's own among them, how their
 // instances stand.
-func (s *Service) askStandings(now time.Time, x *serviceState, in health.Suspicion) {
-	if now.Sub(x.stood) < standingEvery {
+func (s *Service) askScoreReports(now time.Time, x *serviceState, in health.Suspicion) {
+	if now.Sub(x.stood) < scoreReportEvery {
 		return
 	}
 	x.stood = now
-	ask := &wire.StandingRequest{Service: x.assignment.Service, Age: int64(now.Sub(x.jury.Since(now, in.Instance)))}
+	ask := &wire.ScoreReportRequest{Service: x.assignment.Service, Age: int64(now.Sub(x.aggregator.Since(now, in.Instance)))}
 	vms := s.duty.conf.Services[x.assignment.Service].VMs()
 	s.Random.Shuffle(len(vms), func(i, k int) { vms[i], vms[k] = vms[k], vms[i] })
 	for _, v := range vms[:min(askedSiblings, len(vms))] {
-		s.offer(job{to: v.Node, standing: ask})
+		s.offer(job{to: v.Node, scoreReport: ask})
 	}
 }
--- a/lib/service/ejection/snapshot.go
+++ b/lib/service/ejection/snapshot.go
@@ -30,7 +30,7 @@
 	// Instances holds the instances with a mark.
 	Instances map[string]State
 	// Common holds the instances whose fault the whole service shares, with the
-	// time of the ruling.
+	// time of the decision.
 	Common map[string]time.Time
 	// Suspect is set while this node suspects itself.
 	Suspect bool
--- a/lib/service/ejection/upkeep.go
+++ b/lib/service/ejection/upkeep.go
@@ -28,7 +28,7 @@
 		if x.holder != nil {
 			x.holder.Resume(now)
 		}
-		x.jury = health.Jury{}
+		x.aggregator = health.Aggregator{}
 	}
 }
 
--- a/lib/service/observer/observer.go
+++ b/lib/service/observer/observer.go
@@ -75,8 +75,8 @@
 type event struct {
 	at          time.Time
 	observation health.Observation
-	opinion     *ring.Call[*wire.OpinionRequest, bool]
-	standing    *ring.Call[*wire.StandingRequest, []health.Standing]
+	linkReport  *ring.Call[*wire.LinkReportRequest, bool]
+	scoreReport *ring.Call[*wire.ScoreReportRequest, []health.ScoreReport]
 	paused      bool
 }
 
@@ -125,44 +125,44 @@
 	}
 }
 
-// Opinion implements the drpc call.
-func (s *Service[S, P]) Opinion(ctx context.Context, in *wire.OpinionRequest) (*wire.OpinionReply, error) {
-	call := ring.NewCall[*wire.OpinionRequest, bool](in)
-	if err := s.events.Offer(event{at: time.Now(), opinion: &call}); err != nil {
+// LinkReport implements the drpc call.
+func (s *Service[S, P]) LinkReport(ctx context.Context, in *wire.LinkReportRequest) (*wire.LinkReportReply, error) {
+	call := ring.NewCall[*wire.LinkReportRequest, bool](in)
+	if err := s.events.Offer(event{at: time.Now(), linkReport: &call}); err != nil {
 		return nil, err
 	}
 	answers, err := call.Wait(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return &wire.OpinionReply{Answers: answers}, nil
+	return &wire.LinkReportReply{Answers: answers}, nil
 }
 
-// Standing implements the drpc call.
-func (s *Service[S, P]) Standing(ctx context.Context, in *wire.StandingRequest) (*wire.StandingReply, error) {
-	call := ring.NewCall[*wire.StandingRequest, []health.Standing](in)
-	if err := s.events.Offer(event{at: time.Now(), standing: &call}); err != nil {
+// ScoreReport implements the drpc call.
+func (s *Service[S, P]) ScoreReport(ctx context.Context, in *wire.ScoreReportRequest) (*wire.ScoreReportReply, error) {
+	call := ring.NewCall[*wire.ScoreReportRequest, []health.ScoreReport](in)
+	if err := s.events.Offer(event{at: time.Now(), scoreReport: &call}); err != nil {
 		return nil, err
 	}
 	xs, err := call.Wait(ctx)
 	if err != nil {
 		return nil, err
 	}
-	out := &wire.StandingReply{}
+	out := &wire.ScoreReportReply{}
 	for _, x := range xs {
-		out.Instances = append(out.Instances, &wire.InstanceStanding{Instance: x.Instance, Raw: x.Raw})
+		out.Instances = append(out.Instances, &wire.InstanceScore{Instance: x.Instance, Raw: x.Raw})
 	}
 	return out, nil
 }
 
 func (s *Service[S, P]) handle(_ time.Time, e event) {
 	switch {
-	case e.opinion != nil:
-		in := e.opinion.Query
-		e.opinion.Reply(s.detector.Opinion(in.GetInstance(), e.at.Add(-time.Duration(in.GetAge()))))
-	case e.standing != nil:
-		in := e.standing.Query
-		e.standing.Reply(s.detector.Standings(e.at, in.GetService(), e.at.Add(-time.Duration(in.GetAge()))))
+	case e.linkReport != nil:
+		in := e.linkReport.Query
+		e.linkReport.Reply(s.detector.LinkReport(in.GetInstance(), e.at.Add(-time.Duration(in.GetAge()))))
+	case e.scoreReport != nil:
+		in := e.scoreReport.Query
+		e.scoreReport.Reply(s.detector.ScoreReports(e.at, in.GetService(), e.at.Add(-time.Duration(in.GetAge()))))
 	case e.paused:
 		s.detector.Paused(e.at)
 	default:
