--- a/lib/decision/health/aggregator.go
+++ b/lib/decision/health/aggregator.go
@@ -13,7 +13,7 @@
 	Cause      Cause
 	Hypothesis Hypothesis
 	// Samples, Bad, Score and Siblings are those of the Verdict. A score of
-	// 0 is an linkReport in favour of the instance.
+	// 0 is a report in favour of the instance.
 	Samples, Bad, Siblings int
 	Score, Raw             float64
 	// Since is when the evidence began.
@@ -88,7 +88,7 @@
 	at  time.Time
 }
 
-// AddScore records the scoreReport of an instance.
+// AddScore records the score report of an instance.
 func (j *Aggregator) AddScore(now time.Time, s ScoreReport) {
 	if j.scoreReports == nil {
 		j.scoreReports = make(map[string]scoreReport)
@@ -205,7 +205,7 @@
 	return min(max(settleRequests*gap, minSettle), maxSettle)
 }
 
-// crowd counts the other instances whose scoreReport is known and those of them
+// crowd counts the other instances whose score report is known and those of them
 // that stand out. In a fault of the whole service, the first instance to reach
 // the threshold is surrounded by many that are on their way.
 func (j *Aggregator) crowd(now time.Time, instance string) (crowd, heard int) {
@@ -239,7 +239,7 @@
 // Forget drops the reports about an instance.
 func (j *Aggregator) Forget(instance string) { delete(j.reports, instance) }
 
-// ScoreReports returns the scoreReports of the instances of a service whose gates are
+// ScoreReports returns the score reports of the instances of a service whose gates are
 // on this VM and saw requests lately. An instance that failed a request after
 // the given time belongs to the crowd: where a whole service fails, the usual
 // share of errors soon rises, and with it the scores of all instances fall.
