Rename the state of an instance at its gate and the sender of configurations

Cause: desk and giver are no usual terms. Change: instanceState and provider. Conclusion: no change of behaviour; service tests pass.

--- a/lib/service/config/config.go
+++ b/lib/service/config/config.go
@@ -77,7 +77,7 @@
 	s.transfers = ring.New[struct{}](maxTransfers)
 	s.duty.keeper = revision.Keeper{Self: s.VM}
 	s.snapshot.Store(&snapshot{waiting: "no configuration yet"})
-	return wire.DRPCRegisterFleet(s.peers.Mux(), &giver{s: s})
+	return wire.DRPCRegisterFleet(s.peers.Mux(), &provider{s: s})
 }
 
 // Run implements kernel.Service.
--- a/lib/service/config/giver.go
+++ b/lib/service/config/provider.go
@@ -18,19 +18,19 @@
 	maxTransfers = 2
 	// transferWait is how long a node waits for its transfer to begin. A
 	// transfer of deltas takes a few milliseconds. It is shorter than
-	// stallTimeout, so that a busy giver says so in time.
+	// stallTimeout, so that a busy provider says so in time.
 	transferWait = 500 * time.Millisecond
 	// chunkSize is the size of a piece of a document, in bytes.
 	chunkSize = 64 << 10
 )
 
-// giver answers other nodes from the published snapshot.
-type giver struct {
+// provider answers other nodes from the published snapshot.
+type provider struct {
 	s *Service
 }
 
 // Confirm implements wire.DRPCFleetServer.
-func (g *giver) Confirm(ctx context.Context, r *wire.ConfirmRequest) (*wire.ConfirmReply, error) {
+func (g *provider) Confirm(ctx context.Context, r *wire.ConfirmRequest) (*wire.ConfirmReply, error) {
 	sn := g.s.snapshot.Load()
 	if rev := fromRevision(r.GetRevision()); rev.Number > 0 {
 		// A full ring drops the news; the caller asks again.
@@ -46,12 +46,12 @@
 }
 
 // List implements wire.DRPCFleetServer.
-func (g *giver) List(_ context.Context, r *wire.ListRequest) (*wire.ListReply, error) {
+func (g *provider) List(_ context.Context, r *wire.ListRequest) (*wire.ListReply, error) {
 	return g.s.snapshot.Load().list.after(r.GetAfter()), nil
 }
 
 // Fetch implements wire.DRPCFleetServer.
-func (g *giver) Fetch(r *wire.FetchRequest, stream wire.DRPCFleet_FetchStream) error {
+func (g *provider) Fetch(r *wire.FetchRequest, stream wire.DRPCFleet_FetchStream) error {
 	ctx, cancel := context.WithTimeout(stream.Context(), transferWait)
 	err := g.s.transfers.Put(ctx, struct{}{})
 	cancel()
--- a/lib/service/config/transfer_test.go
+++ b/lib/service/config/transfer_test.go
@@ -50,7 +50,7 @@
 	return c
 }
 
-// exchange sends what r lacks of the giver's snapshot and renders the parts.
+// exchange sends what r lacks of the provider's snapshot and renders the parts.
 func exchange(b *strings.Builder, r *receiver, p pull, sn *snapshot, breaks int, change func(*wire.Delta)) (*Content, error) {
 	s := &stream{breaks: breaks}
 	tr := &transfer{sn: sn, stream: s, request: r.request(p), held: make(map[string][]byte)}
@@ -89,10 +89,10 @@
 	one := contentOf(t, 1, map[string]string{"register": long, "rules": "{}"})
 	two := contentOf(t, 2, map[string]string{"register": long[:80_000] + "X" + long[80_000:], "rules": "{}", "rules-more": "{}"})
 	var none *earlier
-	giver := &snapshot{content: two, earlier: none.add(one, two)}
+	provider := &snapshot{content: two, earlier: none.add(one, two)}
 	run := func(name string, r *receiver, p pull, breaks int, change func(*wire.Delta)) {
 		fmt.Fprintf(&b, "# %s\n", name)
-		c, err := exchange(&b, r, p, giver, breaks, change)
+		c, err := exchange(&b, r, p, provider, breaks, change)
 		if err != nil {
 			fmt.Fprintf(&b, "error: %v\n", err)
 			return
--- a/lib/service/gate/command.go
+++ b/lib/service/gate/command.go
@@ -48,7 +48,7 @@
 
 func (a *admission) apply(now time.Time, s *Service) {
 	q := a.call.Query
-	d := s.desk(q.instance)
+	d := s.state(q.instance)
 	if d == nil {
 		a.call.Reply(admitted{reason: request.ReasonInstance})
 		return
@@ -71,7 +71,7 @@
 func (c commit) apply(now time.Time, s *Service) {
 	err := s.grants.Commit(now, c.call.Query)
 	if err == nil {
-		if d := s.desks[c.instance]; d != nil {
+		if d := s.states[c.instance]; d != nil {
 			delete(d.waiting, c.attempt)
 		}
 	}
@@ -85,7 +85,7 @@
 }
 
 func (c abandon) apply(now time.Time, s *Service) {
-	d := s.desks[c.instance]
+	d := s.states[c.instance]
 	if d == nil {
 		return
 	}
@@ -112,7 +112,7 @@
 
 func (c finish) apply(now time.Time, s *Service) {
 	s.grants.Finish(now, c.grant)
-	d := s.desks[c.instance]
+	d := s.states[c.instance]
 	d.observe(now, c.run)
 	s.settleQueue(now, d, d.slots.Release(now, c.attempt))
 	c.call.Reply(d.load(now))
@@ -126,7 +126,7 @@
 }
 
 func (c settle) apply(now time.Time, s *Service) {
-	d := s.desks[c.instance]
+	d := s.states[c.instance]
 	var adm *admission
 	if d != nil {
 		adm = d.waiting[c.attempt]
@@ -148,7 +148,7 @@
 func (leave) apply(now time.Time, s *Service) {
 	s.leaving = true
 	for _, i := range s.instances() {
-		d := s.desk(i.Name)
+		d := s.state(i.Name)
 		d.slots.Leaving = true
 		s.settleQueue(now, d, d.slots.Tick(now))
 	}
--- a/lib/service/gate/gate.go
+++ b/lib/service/gate/gate.go
@@ -48,7 +48,7 @@
 	observer observer.Observer
 	scope    tally.Scope
 	grants   handover.Gate
-	desks    map[string]*desk
+	states   map[string]*instanceState
 	backends *backends
 	inFlight inFlight
 	life     context.Context
@@ -57,8 +57,8 @@
 	leaving bool
 }
 
-// desk is the state of one instance, owned by the duty.
-type desk struct {
+// instanceState is the state of one instance, owned by the duty.
+type instanceState struct {
 	instance *config.Instance
 	slots    slots
 	usual    choice.Lengths
@@ -88,7 +88,7 @@
 	s.commands = ring.New[command](ringSize)
 	s.grants = handover.Gate{Incarnation: s.Incarnation, Hold: hold, Memory: memory, MaxGap: maxGap}
 	s.keepLife()
-	s.desks = make(map[string]*desk)
+	s.states = make(map[string]*instanceState)
 	s.backends = newBackends()
 	return wire.DRPCRegisterHandover(p.Mux(), s)
 }
@@ -114,8 +114,8 @@
 // Drain implements kernel.Drainer: work in flight ends.
 func (s *Service) Drain(ctx context.Context) error { return s.inFlight.wait(ctx) }
 
-// desk returns the state of an instance of this VM, or nil.
-func (s *Service) desk(name string) *desk {
+// state returns the state of an instance of this VM, or nil.
+func (s *Service) state(name string) *instanceState {
 	c := s.config.Current()
 	if c == nil {
 		return nil
@@ -124,10 +124,10 @@
 	if !ok || i.VM.Name != s.VM {
 		return nil
 	}
-	d, ok := s.desks[name]
+	d, ok := s.states[name]
 	if !ok {
-		d = newDesk()
-		s.desks[name] = d
+		d = newInstanceState()
+		s.states[name] = d
 	}
 	d.instance = i
 	d.slots.Slots = i.Service.Slots
@@ -140,8 +140,8 @@
 	for _, a := range s.grants.Expire(now) {
 		s.freeExpired(now, a)
 	}
-	for name, d := range s.desks {
-		s.desk(name)
+	for name, d := range s.states {
+		s.state(name)
 		s.settleQueue(now, d, d.slots.Tick(now))
 		s.publish(now, name, d)
 	}
@@ -149,7 +149,7 @@
 
 // freeExpired gives back the slot of a grant that was not committed.
 func (s *Service) freeExpired(now time.Time, a handover.Attempt) {
-	for _, d := range s.desks {
+	for _, d := range s.states {
 		if adm, ok := d.waiting[a]; ok {
 			delete(d.waiting, a)
 			adm.expired = true
@@ -160,7 +160,7 @@
 }
 
 // settleQueue answers the admissions that a decision was made about.
-func (s *Service) settleQueue(now time.Time, d *desk, ds []slot.Decision[handover.Attempt]) {
+func (s *Service) settleQueue(now time.Time, d *instanceState, ds []slot.Decision[handover.Attempt]) {
 	for len(ds) > 0 {
 		next := ds[0]
 		ds = ds[1:]
@@ -195,7 +195,7 @@
 // idle reports whether no request waits for a slot or for its commit, so that
 // nothing can expire.
 func (s *Service) idle() bool {
-	for _, d := range s.desks {
+	for _, d := range s.states {
 		if len(d.waiting) > 0 {
 			return false
 		}
--- a/lib/service/gate/gate_test.go
+++ b/lib/service/gate/gate_test.go
@@ -237,7 +237,7 @@
 
 func (p peek) apply(_ time.Time, s *Service) {
 	n := 0
-	for _, d := range s.desks {
+	for _, d := range s.states {
 		n += len(d.waiting)
 	}
 	p.call.Reply(n)
--- a/lib/service/gate/inspect.go
+++ b/lib/service/gate/inspect.go
@@ -27,7 +27,7 @@
 func (c inspect) apply(now time.Time, s *Service) {
 	var out []Occupancy
 	for _, i := range s.instances() {
-		d := s.desk(i.Name)
+		d := s.state(i.Name)
 		out = append(out, Occupancy{
 			Instance: i.Name,
 			Service:  i.Service.Name,
--- a/lib/service/gate/pause.go
+++ b/lib/service/gate/pause.go
@@ -37,7 +37,7 @@
 func (s *Service) voidStale(now time.Time, freed []handover.Attempt) {
 	s.Log.Warn("Voided grants after a pause.", "grants", len(freed))
 	// The queue is emptied first, as a slot that is freed goes to its head.
-	for _, d := range s.desks {
+	for _, d := range s.states {
 		for a, adm := range d.waiting {
 			if d.slots.Withdraw(a) {
 				delete(d.waiting, a)
--- a/lib/service/gate/desk.go
+++ b/lib/service/gate/state.go
@@ -21,8 +21,8 @@
 // slots is the kind of queue in use.
 type slots = slot.Gate[handover.Attempt, *slot.Fair[handover.Attempt]]
 
-func newDesk() *desk {
-	return &desk{
+func newInstanceState() *instanceState {
+	return &instanceState{
 		slots:   slots{Queue: slot.NewFair[handover.Attempt]()},
 		waiting: make(map[handover.Attempt]*admission),
 	}
@@ -30,7 +30,7 @@
 
 // slotRequest converts an admit. An entry that does not know the route yet gets
 // the usual run time of the instance.
-func (s *Service) slotRequest(now time.Time, d *desk, q admit) slot.Request[handover.Attempt] {
+func (s *Service) slotRequest(now time.Time, d *instanceState, q admit) slot.Request[handover.Attempt] {
 	expected := q.expected
 	if expected <= 0 {
 		expected = min(d.usual.Expected(now, ""), q.remaining)
@@ -62,7 +62,7 @@
 // long requests. A backend server whose port is closed starts cold afterwards, so
 // that the ramp begins anew with each such failure. Other failures to connect,
 // such as a full backlog, do not limit the slots, as they come with a crest.
-func (d *desk) observe(now time.Time, r run) {
+func (d *instanceState) observe(now time.Time, r run) {
 	if r.down {
 		d.slots.Ramp = slot.Ramp{Start: now, Length: coldRamp}
 		return
@@ -75,7 +75,7 @@
 	d.slots.LongBound = slot.LongBound(d.usual.Expected(now, ""))
 }
 
-func (d *desk) load(now time.Time) *wire.Load {
+func (d *instanceState) load(now time.Time) *wire.Load {
 	return &wire.Load{
 		Slots:   uint32(d.slots.Open(now)),
 		Running: uint32(d.slots.Running()),
@@ -86,7 +86,7 @@
 }
 
 // publish shows the occupancy of an instance on the metrics page.
-func (s *Service) publish(now time.Time, instance string, d *desk) {
+func (s *Service) publish(now time.Time, instance string, d *instanceState) {
 	if d.open == nil {
 		sub := s.scope.Tagged(map[string]string{"instance": instance})
 		d.open, d.running, d.queued = sub.Gauge("slots"), sub.Gauge("running"), sub.Gauge("waiting")
--- a/lib/service/gate/desk_test.go
+++ b/lib/service/gate/state_test.go
@@ -9,12 +9,12 @@
 	"cassiarack.example/lib/golden"
 )
 
-// TestDesk guards against a cold backend server that gets its full load at once,
+// TestInstanceState guards against a cold backend server that gets its full load at once,
 // and against a bound of the classes that follows stragglers or cancelled work.
-func TestDesk(t *testing.T) {
+func TestInstanceState(t *testing.T) {
 	var b strings.Builder
 	epoch := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	d := newDesk()
+	d := newInstanceState()
 	d.slots.Slots = 5
 	show := func(what string, at time.Duration) {
 		l := d.load(epoch.Add(at))
@@ -34,5 +34,5 @@
 	show("a straggler", 7*time.Second)
 	d.observe(epoch.Add(7*time.Second), run{took: time.Millisecond})
 	show("a short run that was cancelled", 7*time.Second)
-	golden.Check(t, "desk", b.String())
+	golden.Check(t, "state", b.String())
 }
