Do not report a pause for the gap of an idle gate

No grant was affected, as an idle gate holds none. Change: nothing is voided or logged when nothing waits or is reserved. Conclusion: the warning means a pause again.

--- a/lib/service/gate/pause.go
+++ b/lib/service/gate/pause.go
@@ -35,6 +35,10 @@
 // voidStale gives back the slots of voided reservations and refuses the
 // attempts that wait.
 func (s *Service) voidStale(now time.Time, freed []handover.Attempt) {
+	if len(freed) == 0 && s.idle() {
+		// An idle gate does not tick, so that a gap says nothing; nothing is stale.
+		return
+	}
 	s.Log.Warn("Voided grants after a pause.", "grants", len(freed))
 	// The queue is emptied first, as a slot that is freed goes to its head.
 	for _, d := range s.states {
