--- a/lib/decision/config/config.go
+++ b/lib/decision/config/config.go
@@ -82,13 +82,6 @@
 	return slices.Compact(out)
 }
 
-// Compile builds the configuration of a revision. The error holds all
-// contradictions as Errors.
-func Compile(rev Revision, regs []*register.Register, rs []*rules.Rules) (*Configuration, error) {
-	var c Compiler
-	return c.compile(rev, regs, rs)
-}
-
 // shared is what successive configurations have in common.
 type shared struct {
 	// organisations is made from the registers of from, in this order.
--- a/lib/decision/config/doc.go
+++ b/lib/decision/config/doc.go
@@ -1,5 +1,5 @@
 // Package config compiles the register and the rules of one revision into the
 // configuration that the other decisions use.
 //
-// A Configuration is immutable after Compile and safe for concurrent use.
+// A Configuration is immutable after Decode and safe for concurrent use.
 package config
--- a/lib/input/strict/document.go
+++ b/lib/input/strict/document.go
@@ -273,15 +273,6 @@
 	return out
 }
 
-// Object returns the member as an object, or nil if it is missing.
-func (o *Object) Object(name string) *Object {
-	v := o.member(name)
-	if v == nil {
-		return nil
-	}
-	return o.doc.object(o, name, notElement, v)
-}
-
 func (o *Object) elements(name string) []*hujson.Value {
 	v := o.member(name)
 	if v == nil {
--- a/lib/service/gate/command.go
+++ b/lib/service/gate/command.go
@@ -42,8 +42,7 @@
 
 // admission is an admit that waits for its slot or its commit.
 type admission struct {
-	call    ring.Call[admit, admitted]
-	expired bool
+	call ring.Call[admit, admitted]
 }
 
 func (a *admission) apply(now time.Time, s *Service) {
--- a/lib/service/gate/gate.go
+++ b/lib/service/gate/gate.go
@@ -150,9 +150,8 @@
 // freeExpired gives back the slot of a grant that was not committed.
 func (s *Service) freeExpired(now time.Time, a handover.Attempt) {
 	for _, d := range s.states {
-		if adm, ok := d.waiting[a]; ok {
+		if _, ok := d.waiting[a]; ok {
 			delete(d.waiting, a)
-			adm.expired = true
 			s.settleQueue(now, d, d.slots.Release(now, a))
 			return
 		}
