Read the configuration together with the instances

Ruled out: the announcements between nodes, which carried the old version because no node knew the new one. Change: one range over all keys at each read; watches are gone.

--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -33,14 +33,6 @@
 	// readTimeout bounds a read of the store, which answers in milliseconds when
 	// it is sound.
 	readTimeout = 900 * time.Millisecond
-	// watchWait is how long a watch of the configuration waits; the store allows
-	// 30 s. A connection that went silent delays a change by no more than that,
-	// and announcements of other readers bring it sooner.
-	watchWait = 10 * time.Second
-	// watchMargin is added to bound a watch whose answer is lost.
-	watchMargin = time.Second
-	// configInterval is how often the configuration is read while watches fail.
-	configInterval = time.Second
 	// fetchTimeout bounds the transfer of published state from another sidecar.
 	fetchTimeout = 600 * time.Millisecond
 	// staleLimit is the age of the state at which a sidecar of another data
@@ -54,9 +46,7 @@
 
 // Store is the part of the platform's store that the service reads.
 type Store interface {
-	Config(ctx context.Context) (platform.Document, error)
-	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Document, error)
-	Instances(ctx context.Context) ([]roster.Instance, []error, error)
+	Read(ctx context.Context) (*platform.Published, error)
 }
 
 // State is what is published, as far as the sidecar knows. It is not changed.
@@ -168,14 +158,13 @@
 	return rank
 }
 
-// read reads the instances and, if nobody watches it, the configuration.
+// read reads what is published.
 func (s *Service) read(ctx context.Context, now time.Time) {
 	s.reading = true
-	s.watchConfig(ctx, now)
 	go func() {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		list, invalid, err := s.Store.Instances(call)
+		p, err := s.Store.Read(call)
 		s.do(ctx, func(done time.Time) {
 			s.reading = false
 			s.schedule.Done(done, s.Random, err == nil)
@@ -183,11 +172,12 @@
 			if err != nil {
 				return
 			}
-			for _, e := range invalid {
+			for _, e := range p.Invalid {
 				s.Scope.Counter("invalid_entries").Inc(1)
 				s.Log.Debug("An entry names no instance.", "err", e)
 			}
-			s.apply(s.roster.Replace(done, now, list), "store")
+			s.accept(p.Config, "store")
+			s.apply(s.roster.Replace(done, now, p.Instances), "store")
 			s.announce(done)
 		})
 	}()
