Write no answer after a client left, and survive SIGHUP during a stop

The writer of a connection skipped an unanswered request when its client had left and could send the answer to the next one in its place. TestNoAnswerAfterLeave fails with the check taken out. Also: header names that end in space are refused; lists with many changes are one log line.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -104,7 +104,9 @@
 		if !c.begin() {
 			return nil
 		}
+		c.service.inflight.Add(1)
 		if err := c.answers.Put(ctx, e); err != nil {
+			c.service.inflight.Add(-1)
 			return err
 		}
 		body, err := c.readBody(head)
@@ -118,7 +120,6 @@
 			e.answer <- plain(refused.status, refused.Error())
 			return nil
 		}
-		c.service.inflight.Add(1)
 		go func() {
 			e.answer <- c.service.handle(ctx, head, body, received)
 		}()
@@ -176,44 +177,53 @@
 	e := &exchange{method: http.MethodGet, last: true, answer: make(chan *message.Answer, 1)}
 	e.answer <- plain(refused.status, refused.Error())
 	c.service.inflight.Add(1)
-	return c.answers.Put(ctx, e)
+	if err := c.answers.Put(ctx, e); err != nil {
+		c.service.inflight.Add(-1)
+		return err
+	}
+	return nil
 }
 
-// write sends answers in the order of their requests.
+// write sends answers in the order of their requests. After the client left or
+// an answer could not be sent, nothing more is written: the answer to a later
+// request would be taken for that of an earlier one.
 func (c *conn) write(ctx context.Context, cancel context.CancelFunc) {
 	for {
-		e, err := c.answers.Take(ctx)
+		// The ring is closed when the reader ends, so this wait always ends.
+		e, err := c.answers.Take(context.Background())
 		if err != nil {
 			return
 		}
-		var a *message.Answer
-		select {
-		case a = <-e.answer:
-		case <-ctx.Done():
-			// The client left. The request ends by itself.
-			c.service.forget(e)
-			continue
-		}
-		if a == nil {
-			cancel()
-			return
-		}
-		last := c.finish(e.last)
-		err = c.send(e.method, a, last)
-		c.service.inflight.Add(-1)
-		if err != nil {
+		if err := c.answer(ctx, e); err != nil {
 			cancel()
-			continue
-		}
-		if last && !e.last {
-			// The reader waits for another request, which does not count any more.
-			if err := c.net.SetReadDeadline(time.Unix(1, 0)); err != nil {
-				cancel()
-			}
 		}
 	}
 }
 
+// answer sends the answer to one request when it is there.
+func (c *conn) answer(ctx context.Context, e *exchange) error {
+	defer c.service.inflight.Add(-1)
+	a := <-e.answer
+	if a == nil {
+		return errLeft
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	last := c.finish(e.last)
+	if err := c.send(e.method, a, last); err != nil {
+		return err
+	}
+	if last && !e.last {
+		// The reader waits for another request, which does not count any more.
+		return c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+	return nil
+}
+
+// errLeft means that the client left before its request was complete.
+var errLeft = errors.New("ingress: the client left")
+
 // send writes one answer.
 func (c *conn) send(method string, a *message.Answer, last bool) error {
 	var b bytes.Buffer
@@ -241,15 +251,6 @@
 	return nil
 }
 
-// forget waits for the end of a request whose client left.
-func (s *Service) forget(e *exchange) {
-	go func() {
-		if a := <-e.answer; a != nil {
-			s.inflight.Add(-1)
-		}
-	}()
-}
-
 // plain returns an answer of the sidecar itself.
 func plain(status int, text string) *message.Answer {
 	return &message.Answer{Status: status, Own: true, Body: []byte(text + "\n"),
--- /dev/null
+++ b/sidecar/ingress/conn_test.go
@@ -0,0 +1,207 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"cassiarack.example/lib/decision/routing"
+	"cassiarack.example/lib/golden"
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/sidecar/message"
+	"cassiarack.example/sidecar/names"
+	"cassiarack.example/sidecar/publication"
+)
+
+// fake stands in for the services that an ingress needs.
+type fake struct {
+	state *publication.State
+
+	mu       sync.Mutex
+	requests []*message.Request
+	left     chan string
+}
+
+func (f *fake) Bind(*kernel.Directory) error      { return nil }
+func (f *fake) Run(ctx context.Context) error     { <-ctx.Done(); return nil }
+func (f *fake) State() *publication.State         { return f.state }
+func (f *fake) NestedFailed(time.Time)            {}
+func (f *fake) Running() int                      { return 0 }
+func (f *fake) AllowRequest(time.Time, bool) bool { return false }
+
+// Serve answers with the target after the time that the query names.
+func (f *fake) Serve(ctx context.Context, r *message.Request) *message.Answer {
+	f.mu.Lock()
+	f.requests = append(f.requests, r)
+	f.mu.Unlock()
+	if _, text, ok := strings.Cut(r.Target, "?"); ok {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			panic(err)
+		}
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			f.left <- r.Target
+		}
+	}
+	return &message.Answer{Status: 200, Header: http.Header{"X-Test": {r.Target}},
+		Body: fmt.Appendf(nil, "%s %s %q", r.Method, r.Target, r.Body)}
+}
+
+// start runs an ingress and returns its address.
+func start(t *testing.T) (*Service, *fake, string, context.CancelFunc) {
+	t.Helper()
+	f := &fake{left: make(chan string, 10), state: &publication.State{Table: routing.Compile(&routing.Configuration{
+		Version: 1, Limits: routing.Limits{HeaderBytes: 512, BodyBytes: 64},
+		Routes: []routing.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Timeout: 5 * time.Second,
+			Destinations: []routing.Destination{{Service: "s", Weight: 1}}}}})}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Service{Listener: l, CallerService: "s", Scope: tally.NoopScope, Log: log.New(io.Discard)}
+	ctx, cancel := context.WithCancel(t.Context())
+	k := &kernel.Kernel{Log: log.New(io.Discard), DrainTimeout: 5 * time.Second, Registrations: []kernel.Registration{
+		{Name: names.Publication, Service: f}, {Name: names.Relay, Service: f}, {Name: names.Gate, Service: f},
+		{Name: names.Journal, Service: f},
+		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal}, Service: s}}}
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, f, l.Addr().String(), cancel
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func get(target string) string { return "GET " + target + " HTTP/1.1\r\nHost: h.example\r\n\r\n" }
+
+// TestPipelining guards against answers out of order, and against requests of a
+// connection that wait for each other.
+func TestPipelining(t *testing.T) {
+	is := is.New(t)
+	_, _, address, _ := start(t)
+	c := dial(t, address)
+	began := time.Now()
+	_, err := io.WriteString(c, get("/a/1?200ms")+get("/a/2?200ms")+get("/a/3"))
+	is.NoErr(err)
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/a/1?200ms", "/a/2?200ms", "/a/3"} {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.Header.Get("X-Test"), want)
+	}
+	is.True(time.Since(began) < 390*time.Millisecond) // the two slow ones ran side by side
+}
+
+// TestNoAnswerAfterLeave guards against the answer to a later request on a
+// connection whose earlier request was cancelled: the client would take it for
+// the answer to the earlier one.
+func TestNoAnswerAfterLeave(t *testing.T) {
+	is := is.New(t)
+	_, f, address, _ := start(t)
+	for range 20 {
+		c := dial(t, address)
+		_, err := io.WriteString(c, get("/a/1?3s")+get("/a/2"))
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+		is.NoErr(c.(*net.TCPConn).CloseWrite())
+		is.Equal(<-f.left, "/a/1?3s") // the client's leaving cancels the request
+		got, err := io.ReadAll(c)
+		is.NoErr(err)
+		is.Equal(string(got), "")
+	}
+}
+
+// TestHeads guards against requests that two readers could understand
+// differently, and against limits that are not kept.
+func TestHeads(t *testing.T) {
+	_, f, address, _ := start(t)
+	cases := []struct{ name, text string }{
+		{"get", get("/a/x")},
+		{"other prefix", get("/b/x")},
+		{"other host", "GET /a/x HTTP/1.1\r\nHost: other.example\r\n\r\n"},
+		{"host with port and capitals", "GET /a/x HTTP/1.1\r\nHost: H.Example:80\r\n\r\n"},
+		{"escaped path", get("/a/%2e%2e/x%2fy?0s")},
+		{"body", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n\r\nabc"},
+		{"chunks", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n"},
+		{"length and chunks", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{"two lengths", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc"},
+		{"bare line feed", "GET /a/x HTTP/1.1\nHost: h.example\r\n\r\n"},
+		{"continued header", "GET /a/x HTTP/1.1\r\nHost: h.example\r\nA: b\r\n c\r\n\r\n"},
+		{"space before colon", "GET /a/x HTTP/1.1\r\nHost: h.example\r\nA : b\r\n\r\n"},
+		{"no host", "GET /a/x HTTP/1.1\r\n\r\n"},
+		{"large header", "GET /a/x HTTP/1.1\r\nHost: h.example\r\nA: " + strings.Repeat("b", 600) + "\r\n\r\n"},
+		{"large body", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("b", 65)},
+		{"old protocol", "GET /a/x HTTP/1.0\r\nHost: h.example\r\n\r\n"},
+	}
+	var b strings.Builder
+	for _, tc := range cases {
+		c := dial(t, address)
+		if _, err := io.WriteString(c, tc.text); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(tc.name, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(tc.name, err)
+		}
+		fmt.Fprintf(&b, "%s: %d close=%v %s\n", tc.name, resp.StatusCode, resp.Close, strings.TrimSpace(string(body)))
+	}
+	fmt.Fprintf(&b, "handled: %d\n", len(f.requests))
+	golden.Check(t, "heads", b.String())
+}
+
+// TestStopKeepsConnections guards against requests that a stop cuts off: those in
+// flight are answered, and a connection that is in use ends with an answer that
+// says so.
+func TestStopKeepsConnections(t *testing.T) {
+	is := is.New(t)
+	s, _, address, cancel := start(t)
+	slow, used := dial(t, address), dial(t, address)
+	_, err := io.WriteString(slow, get("/a/1?1s"))
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	cancel()
+	for !s.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(!s.Ready())
+	_, err = io.WriteString(used, get("/a/2"))
+	is.NoErr(err)
+	for _, c := range []net.Conn{used, slow} {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+		is.True(resp.Close)
+	}
+}
--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -125,6 +125,9 @@
 			return nil, &refusal{http.StatusBadRequest, "a header is continued on another line"}
 		}
 		name, _, _ := bytes.Cut(line, []byte(":"))
+		if n > 0 && len(bytes.TrimRight(name, " \t")) < len(name) {
+			return nil, &refusal{http.StatusBadRequest, "a header name ends in space"}
+		}
 		switch strings.ToLower(string(name)) {
 		case "content-length":
 			lengths++
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -20,11 +20,9 @@
 	"cassiarack.example/lib/clock"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/kernel"
-	"cassiarack.example/sidecar/gate"
-	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/publication"
-	"cassiarack.example/sidecar/relay"
 )
 
 const (
@@ -45,6 +43,30 @@
 	startIdleTimeout   = time.Minute
 )
 
+// Publication knows what the platform publishes.
+type Publication interface {
+	State() *publication.State
+}
+
+// Relay returns the answer to a request.
+type Relay interface {
+	Serve(ctx context.Context, r *message.Request) *message.Answer
+}
+
+// Gate is the way to the instance on this VM.
+type Gate interface {
+	// NestedFailed tells that a request which may be a call of the instance
+	// failed.
+	NestedFailed(now time.Time)
+	// Running returns the number of requests at the instance.
+	Running() int
+}
+
+// Journal bounds the lines about requests.
+type Journal interface {
+	AllowRequest(now time.Time, success bool) bool
+}
+
 // Service takes the requests of clients.
 type Service struct {
 	Listener net.Listener
@@ -53,10 +75,10 @@
 	Scope         tally.Scope
 	Log           *log.Logger
 
-	publication *publication.Service
-	relay       *relay.Service
-	gate        *gate.Service
-	journal     *journal.Service
+	publication Publication
+	relay       Relay
+	gate        Gate
+	journal     Journal
 
 	draining atomic.Bool
 	// sealed is set when no further request is taken.
@@ -74,17 +96,17 @@
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
-	if s.publication, err = kernel.Find[*publication.Service](dir, names.Publication); err != nil {
+	if s.publication, err = kernel.Find[Publication](dir, names.Publication); err != nil {
 		return err
 	}
-	if s.relay, err = kernel.Find[*relay.Service](dir, names.Relay); err != nil {
+	if s.relay, err = kernel.Find[Relay](dir, names.Relay); err != nil {
 		return err
 	}
-	if s.gate, err = kernel.Find[*gate.Service](dir, names.Gate); err != nil {
+	if s.gate, err = kernel.Find[Gate](dir, names.Gate); err != nil {
 		return err
 	}
 	s.conns = make(map[*conn]struct{})
-	s.journal, err = kernel.Find[*journal.Service](dir, names.Journal)
+	s.journal, err = kernel.Find[Journal](dir, names.Journal)
 	return err
 }
 
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -40,6 +40,9 @@
 	staleLimit = 1200 * time.Millisecond
 	// tick is the resolution of the schedule.
 	tick = 50 * time.Millisecond
+	// maxChangesLogged bounds the lines about the changes of one list, as after a
+	// start all entries are new.
+	maxChangesLogged = 8
 	// commands bounds the results and announcements that wait for the duty.
 	commands = 256
 )
@@ -196,9 +199,13 @@
 
 // apply publishes changes of the roster.
 func (s *Service) apply(changes []roster.Change, source string) {
+	if len(changes) > maxChangesLogged {
+		s.Log.Info("Many instances changed.", "changes", len(changes), "source", source)
+		changes = nil
+	}
 	for _, c := range changes {
 		s.Log.Info("An instance changed.", "instance", c.Instance.ID, "service", c.Instance.Service,
-			"address", c.Instance.Address, "removed", c.Removed, "draining", c.Instance.Draining,
+			"address", c.Instance.Address, "removed", c.Removed, "draining", c.Instance.Draining, "cold", c.Instance.Cold,
 			"revision", c.Instance.Revision, "source", source)
 	}
 	s.publish()
--- a/sidecar/reload.go
+++ b/sidecar/reload.go
@@ -16,11 +16,11 @@
 // without a signal.
 const settingsInterval = 2 * time.Second
 
-// watchSettings reads the settings again after SIGHUP and at intervals.
+// watchSettings reads the settings again after SIGHUP and at intervals. It never
+// stops to take the signal, whose default would end the process during its stop.
 func watchSettings(ctx context.Context, read func() (*settings.Settings, error), log *log.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
 	last, _ := read()
