Test doubtful instances only with the least urgent repeatable requests

Ruled out: late detection at the instances that the acceptances themselves ran at. Change: tests need a reserve of the budget and the least urgent repeatable route of the service; refusals by instances use the budget but are no attempts.

--- a/lib/decision/retry/window.go
+++ b/lib/decision/retry/window.go
@@ -19,12 +19,18 @@
 	w.fresh = append(prune(w.fresh, now.Add(-w.Length)), now)
 }
 
-// Allow takes one repeat and reports whether the budget held one. Slack is the
-// node's part of the constant share.
-func (w *Window) Allow(now time.Time, slack float64) bool {
+// Left returns the number of repeats that the budget holds. Slack is the node's
+// part of the constant share.
+func (w *Window) Left(now time.Time, slack float64) float64 {
 	start := now.Add(-w.Length)
 	w.repeats, w.fresh = prune(w.repeats, start), prune(w.fresh, start)
-	if float64(len(w.repeats)+1) > w.Ratio*float64(len(w.fresh))+slack {
+	return w.Ratio*float64(len(w.fresh)) + slack - float64(len(w.repeats))
+}
+
+// Allow takes one repeat if the budget holds it and a reserve for others, and
+// reports whether it did.
+func (w *Window) Allow(now time.Time, slack, reserve float64) bool {
+	if w.Left(now, slack) < 1+reserve {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -19,6 +19,12 @@
 	nestedWindow = 40 * time.Millisecond
 	// nestedWeight is what such a failure still says about the instance.
 	nestedWeight = 0.15
+	// rejectedWeight is what a refusal by the instance says about it: a good one
+	// refuses only when it is full, which the gate prevents.
+	rejectedWeight = 0.6
+	// unreachableWeight is what a refused connection says: an instance also
+	// refuses connections while it starts again.
+	unreachableWeight = 0.6
 	// expire is how often idle connections are checked.
 	expire = time.Second
 )
@@ -147,11 +153,11 @@
 		// The caller left or the deadline passed. A long run is no failure.
 		return evidence{}
 	case backend.NotSent(err):
-		return evidence{failed: true, weight: 0.5}
+		return evidence{failed: true, weight: unreachableWeight}
 	case err != nil:
 		return evidence{failed: true, weight: 1}
 	case platform.NotExecuted(answer.Status, answer.Header):
-		return evidence{failed: true, weight: 0.3}
+		return evidence{failed: true, weight: rejectedWeight}
 	case answer.Status == http.StatusGatewayTimeout:
 		return evidence{}
 	case answer.Status >= http.StatusInternalServerError:
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -39,7 +39,10 @@
 	leavingTime = 8 * time.Second
 	// repeatShare is the part of the shared budget for repeats that is used, as
 	// calls made by repeated work count as repeats too.
-	repeatShare = 0.7
+	repeatShare = 0.85
+	// testReserve is what the budget must hold for a test, as a test is likely to
+	// be followed by a repeat.
+	testReserve = 2.0
 )
 
 // Service places requests.
@@ -184,6 +187,7 @@
 			Unreachable: now.Before(i.unreachableUntil), Excluded: excluded[entry.ID],
 		})
 	}
+	tests = tests && s.mayTest(now, r)
 	c := placement.Choose(now, s.Random, placement.Request{Tests: tests}, candidates)
 	if c.Index < 0 {
 		return placed{}, false
@@ -241,8 +245,19 @@
 	return b
 }
 
+// slack is this sidecar's part of the constant share of the budget.
+func (s *Service) slack() float64 {
+	nodes := len(s.publication.State().Peers) + 1
+	return s.RepeatSlack * repeatShare / float64(nodes)
+}
+
 // mayRepeat takes a repeat from the budget.
 func (s *Service) mayRepeat(now time.Time, service string) bool {
-	nodes := len(s.publication.State().Peers) + 1
-	return s.budget(service).Allow(now, s.RepeatSlack*repeatShare/float64(nodes))
+	return s.budget(service).Allow(now, s.slack(), 0)
+}
+
+// mayTest reports whether a request may test a doubtful instance.
+func (s *Service) mayTest(now time.Time, r *message.Request) bool {
+	t := s.publication.State().Table
+	return t != nil && t.Tests(r.Route, r.Service) && s.budget(r.Service).Left(now, s.slack()) >= testReserve
 }
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -24,6 +24,10 @@
 	// time is random, so that refused clients do not return together.
 	minRetryAfter = 150 * time.Millisecond
 	maxRetryAfter = 600 * time.Millisecond
+	// maxRejected bounds the instances that may refuse a request themselves before
+	// it is refused. They have not run it, so they do not count as attempts, but
+	// each uses the budget for repeats.
+	maxRejected = 3
 	// shortWait is the wait in a queue that is accepted while other gates may
 	// have room.
 	shortWait = 60 * time.Millisecond
@@ -40,8 +44,10 @@
 // progress is the state of a request while it is placed.
 type progress struct {
 	offers int
-	// sent is the number of instances that the request was sent to.
+	// sent is the number of instances where the request may have run, rejected the
+	// number of those that refused it themselves.
 	sent     int
+	rejected int
 	mayRun   bool
 	excluded map[string]bool
 	last     *message.Answer
@@ -88,7 +94,7 @@
 		p.reason = "deadline"
 		return false
 	}
-	tests := r.Route.Idempotent && p.sent == 0 && r.Route.Attempts > 1
+	tests := p.sent == 0 && p.rejected == 0
 	var pl placed
 	found := make(chan bool, 1)
 	if err := s.do(ctx, func(now time.Time) {
@@ -192,8 +198,8 @@
 		if reply.GetReason() != gate.ReasonInstance {
 			return reply.GetReason() != string(admission.ReasonExpired)
 		}
-		p.sent++
-		return p.sent < r.Route.Attempts && s.allowed(ctx, r)
+		p.rejected++
+		return p.rejected <= maxRejected && s.allowed(ctx, r)
 	default:
 		p.sent++
 		p.mayRun = true
@@ -260,7 +266,7 @@
 	}
 	s.Log.Info("A request ended.", "request", r.Attempt, "route", r.Route.Name, "service", r.Service,
 		"configVersion", r.ConfigVersion, "status", a.Status, "own", a.Own, "reason", p.reason, "offers", p.offers,
-		"sent", p.sent, "instance", p.instance, "failing", p.failing, "took", now.Sub(r.Received),
+		"sent", p.sent, "rejected", p.rejected, "instance", p.instance, "failing", p.failing, "took", now.Sub(r.Received),
 		"left", r.Deadline.Sub(now))
 }
 
