--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -134,10 +134,11 @@
 // learn takes over what a gate tells of its instance. Sender is the incarnation
 // of the gate's process, or zero if it is not known.
 func (s *Service) learn(now time.Time, sender uint64, c *wire.Condition) {
-	i := s.instances[c.GetInstance()]
-	if i == nil {
+	entry, ok := s.publication.State().Instances[c.GetInstance()]
+	if !ok {
 		return
 	}
+	i := s.instance(entry)
 	if sender != 0 && sender != i.sender {
 		i.sender, i.sequence = sender, 0
 	}
