--- /dev/null
+++ b/lib/decision/admission/admission_test.go
@@ -0,0 +1,104 @@
+package admission
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiarack.example/lib/golden"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const ms = time.Millisecond
+
+// TestQueue guards against requests that wait although they cannot be served, and
+// against an order in which late or less urgent requests delay others.
+func TestQueue(t *testing.T) {
+	q := Queue[string]{Slots: 1}
+	var b strings.Builder
+	offer := func(now time.Duration, name string, priority int, target, deadline, patience time.Duration) {
+		started, reason := q.Offer(start.Add(now), Request{Route: "r", Priority: priority, Target: start.Add(target),
+			Deadline: start.Add(deadline), Patience: patience}, name)
+		fmt.Fprintf(&b, "%v offer %s: started %t, refused %q, running %d, waiting %d\n", now, name, started, reason,
+			q.Running(), q.Waiting())
+	}
+	finish := func(now, ran time.Duration) {
+		q.Finish("r", ran)
+		next, started, expired := q.Next(start.Add(now))
+		fmt.Fprintf(&b, "%v finish after %v: next %q, started %t, expired %d, expected %v\n", now, ran, next.Value,
+			started, len(expired), q.Expected("r").Round(ms))
+	}
+	offer(0, "first", 1, 800*ms, 2000*ms, time.Second)
+	offer(0, "no time left", 1, 10*ms, 20*ms, time.Second)
+	offer(0, "impatient", 1, 800*ms, 2000*ms, 10*ms)
+	offer(0, "less urgent", 2, 800*ms, 2000*ms, 5*time.Second)
+	offer(0, "late anyway", 0, 10*ms, 2000*ms, 5*time.Second)
+	offer(0, "urgent", 1, 900*ms, 2000*ms, 5*time.Second)
+	offer(0, "urgent, earlier target", 1, 700*ms, 2000*ms, 5*time.Second)
+	offer(0, "short deadline", 2, 200*ms, 350*ms, 5*time.Second)
+	finish(100*ms, 100*ms)
+	finish(250*ms, 150*ms)
+	fmt.Fprintf(&b, "withdraw late anyway: %t\n", q.Withdraw("late anyway"))
+	fmt.Fprintf(&b, "withdraw unknown: %t\n", q.Withdraw("unknown"))
+	finish(600*ms, 5*time.Second)
+	finish(700*ms, 0)
+	offer(800*ms, "straight", 2, 2000*ms, 3000*ms, 0)
+	golden.Check(t, "queue", b.String())
+}
+
+// TestCrest plays a demand of twice the capacity for ten seconds and compares
+// the queue with a first-in first-out queue without refusals. It guards against
+// slots that are spent on requests whose callers get nothing from the answer.
+func TestCrest(t *testing.T) {
+	const (
+		slots  = 3
+		work   = 200 * ms
+		gap    = 33 * ms
+		length = 10 * time.Second
+		target = 800 * ms
+		limit  = 2 * time.Second
+	)
+	q := Queue[int]{Slots: slots}
+	var free [slots]time.Time
+	var fifo []time.Time
+	var useful, plain, total int
+	type run struct{ arrived, ends time.Time }
+	running := map[int]run{}
+	for n := 0; time.Duration(n)*gap < length; n++ {
+		now := start.Add(time.Duration(n) * gap)
+		total++
+		for id, r := range running {
+			if r.ends.After(now) {
+				continue
+			}
+			if r.ends.Sub(r.arrived) <= target {
+				useful++
+			}
+			delete(running, id)
+			q.Finish("r", work)
+			if e, ok, _ := q.Next(r.ends); ok {
+				running[e.Value] = run{e.Since, r.ends.Add(work)}
+			}
+		}
+		if ok, _ := q.Offer(now, Request{Route: "r", Target: now.Add(target), Deadline: now.Add(limit), Patience: limit}, n); ok {
+			running[n] = run{now, now.Add(work)}
+		}
+		fifo = append(fifo, now)
+		for k := range free {
+			if len(fifo) > 0 && !free[k].After(now) {
+				free[k] = now.Add(work)
+				if free[k].Sub(fifo[0]) <= target {
+					plain++
+				}
+				fifo = fifo[1:]
+			}
+		}
+	}
+	golden.Check(t, "crest", fmt.Sprintf("of %d requests at twice the capacity, in time: queue %d, first-in first-out %d\n",
+		total, useful, plain))
+	if useful <= plain {
+		t.Errorf("the queue answers %d requests in time, first-in first-out %d", useful, plain)
+	}
+}
--- /dev/null
+++ b/lib/decision/belief/belief_test.go
@@ -0,0 +1,131 @@
+package belief
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiarack.example/lib/golden"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestFilter guards against a belief that needs many failures, that a single
+// success clears while failures go on, or that never returns without evidence.
+func TestFilter(t *testing.T) {
+	cases := []struct {
+		name string
+		// outcomes holds one event each 200 ms: o is a success, x a failure, n a
+		// failure that a nested call explains, and . is no event.
+		outcomes string
+	}{
+		{"unknown", "....."},
+		{"successes", "ooooo"},
+		{"one failure", "ooooox....."},
+		{"failures", "oooooxxx"},
+		{"recovery", "oooooxxx.....oo"},
+		{"lucky success in an episode", "xxxxoxx"},
+		{"nested failures", "ooooonnn"},
+		{"long silence", "ooooox" + strings.Repeat(".", 40)},
+	}
+	var b strings.Builder
+	for _, tc := range cases {
+		f := Filter{Model: DefaultModel}
+		now := start
+		fmt.Fprintf(&b, "%s:", tc.name)
+		for _, o := range tc.outcomes {
+			switch o {
+			case 'o':
+				f.Observe(now, false, 1)
+			case 'x':
+				f.Observe(now, true, 1)
+			case 'n':
+				f.Observe(now, true, 0.15)
+			}
+			fmt.Fprintf(&b, " %c%.2f", o, f.Failing(now))
+			now = now.Add(200 * time.Millisecond)
+		}
+		b.WriteString("\n")
+	}
+	golden.Check(t, "filter", b.String())
+}
+
+// TestBaseline compares the filter with the rule that leaves an instance out for
+// two seconds after any failure, on instances that fail 85% of their requests in
+// episodes. It guards against a filter that detects later or leaves out more good
+// time than the rule.
+func TestBaseline(t *testing.T) {
+	const (
+		instances = 200
+		seconds   = 120
+		threshold = 0.5
+	)
+	var b strings.Builder
+	for _, rate := range []float64{1, 5, 20} {
+		filter, rule := simulate(rate, instances, seconds, threshold)
+		fmt.Fprintf(&b, "%g requests/s: filter sends %.1f%% of requests to failing instances and leaves out %.1f%% of good time; rule %.1f%% and %.1f%%\n",
+			rate, filter.bad, filter.lost, rule.bad, rule.lost)
+		if filter.bad+filter.lost > rule.bad+rule.lost {
+			t.Errorf("at %g requests/s the filter is worse than the rule", rate)
+		}
+	}
+	golden.Check(t, "baseline", b.String())
+}
+
+// share is the percentage of requests that met a failing instance among those
+// that an estimate allowed, and of the good time that it left out.
+type share struct{ bad, lost float64 }
+
+// simulate plays independent instances; an instance that is left out still gets
+// one request each 600 ms as a test.
+func simulate(rate float64, instances int, seconds, threshold float64) (filter, rule share) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var sent, bad, good, lost [2]float64
+	for range instances {
+		f := Filter{Model: DefaultModel}
+		var until, tested [2]time.Time
+		failing := false
+		step := time.Duration(float64(time.Second) / rate)
+		for now := start; now.Sub(start).Seconds() < seconds; now = now.Add(step) {
+			mean := DefaultModel.Good
+			if failing {
+				mean = DefaultModel.Failing
+			}
+			if rng.Float64() < step.Seconds()/mean.Seconds() {
+				failing = !failing
+			}
+			p := 0.012
+			if failing {
+				p = 0.85
+			}
+			failed := rng.Float64() < p
+			out := [2]bool{f.Failing(now) >= threshold, now.Before(until[1])}
+			for k := range 2 {
+				if !failing {
+					good[k]++
+					if out[k] {
+						lost[k]++
+					}
+				}
+				test := out[k] && now.Sub(tested[k]) >= 600*time.Millisecond
+				if out[k] && !test {
+					continue
+				}
+				tested[k] = now
+				sent[k]++
+				if failing {
+					bad[k]++
+				}
+				if k == 0 {
+					f.Observe(now, failed, 1)
+				} else if failed {
+					until[1] = now.Add(2 * time.Second)
+				}
+			}
+		}
+	}
+	result := func(k int) share { return share{100 * bad[k] / sent[k], 100 * lost[k] / good[k]} }
+	return result(0), result(1)
+}
--- a/lib/decision/placement/placement.go
+++ b/lib/decision/placement/placement.go
@@ -23,9 +23,14 @@
 	unreachableCost = 2.0
 	// jitter spreads equal choices of nodes that know the same.
 	jitter = 0.02
+	// testFrom is the probability of failing from which an instance is tested. It
+	// lies below the share of time that instances fail on average, to which the
+	// belief returns without evidence.
+	testFrom = 0.2
 	// Doubtful is the probability of failing from which an instance gets only
-	// tests while others have room.
-	Doubtful = 0.25
+	// tests while others have room. Below it, good instances are left out for
+	// longer and no fewer requests meet failing ones, at 1 to 20 requests a second.
+	Doubtful = 0.5
 )
 
 // Candidate is an instance and what the node knows of it.
@@ -111,7 +116,7 @@
 func overdue(now time.Time, rng *rand.Rand, candidates []Candidate) int {
 	chosen, n := -1, 0
 	for i, c := range candidates {
-		if c.Excluded || c.Unreachable || c.Failing < Doubtful || c.Load >= c.Slots || now.Sub(c.Evidence) < trialInterval {
+		if c.Excluded || c.Unreachable || c.Failing < testFrom || c.Load >= c.Slots || now.Sub(c.Evidence) < trialInterval {
 			continue
 		}
 		n++
--- /dev/null
+++ b/lib/decision/roster/roster_test.go
@@ -0,0 +1,89 @@
+package roster
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiarack.example/lib/golden"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(id string, f ...func(*Instance)) Instance {
+	i := Instance{ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "a", Slots: 3,
+		Born: start}
+	for _, change := range f {
+		change(&i)
+	}
+	return i
+}
+
+func draining(i *Instance) { i.Draining = true }
+func reborn(i *Instance)   { i.Born = start.Add(time.Second) }
+func beat(i *Instance)     { i.Revision++ }
+
+// TestReplace guards against instances that stay after they left, that go when
+// only their entry lapsed during an outage, and against lists that arrive late.
+func TestReplace(t *testing.T) {
+	steps := []struct {
+		name string
+		// at is when the list was requested; now is 10 ms later.
+		at   time.Duration
+		list []Instance
+	}{
+		{"first", 0, []Instance{entry("1"), entry("2")}},
+		{"heartbeat", 450 * time.Millisecond, []Instance{entry("1", beat), entry("2", beat)}},
+		{"draining and new", 900 * time.Millisecond, []Instance{entry("1"), entry("2", draining), entry("3")}},
+		{"gone", 1300 * time.Millisecond, []Instance{entry("1"), entry("3")}},
+		{"older list", 900 * time.Millisecond, []Instance{entry("1"), entry("2"), entry("3")}},
+		{"started again", 1750 * time.Millisecond, []Instance{entry("1", reborn), entry("3")}},
+		{"after an outage", 8 * time.Second, []Instance{entry("3")}},
+		{"back", 8500 * time.Millisecond, []Instance{entry("1", reborn), entry("3")}},
+		{"after another outage", 20 * time.Second, []Instance{entry("1", reborn)}},
+		{"still missing", 21 * time.Second, []Instance{entry("1", reborn)}},
+		{"taken as gone", 22300 * time.Millisecond, []Instance{entry("1", reborn)}},
+		{"gone without an outage", 22700 * time.Millisecond, nil},
+	}
+	var r Roster
+	var b strings.Builder
+	for _, s := range steps {
+		readAt := start.Add(s.at)
+		changes := r.Replace(readAt.Add(10*time.Millisecond), readAt, s.list)
+		fmt.Fprintf(&b, "%s: %s\n", s.name, render(changes))
+		for _, i := range r.Instances() {
+			fmt.Fprintf(&b, "  %s draining %t born %v\n", i.ID, i.Draining, i.Born.Sub(start))
+		}
+	}
+	golden.Check(t, "replace", b.String())
+}
+
+// TestAdopt guards against a state of another node that is older than the own.
+func TestAdopt(t *testing.T) {
+	var r Roster
+	var b strings.Builder
+	fmt.Fprintln(&b, "newer:", render(r.Adopt(start.Add(time.Second), []Instance{entry("1"), entry("2")})))
+	fmt.Fprintln(&b, "older:", render(r.Adopt(start, []Instance{entry("3")})))
+	r.Confirm(start.Add(3 * time.Second))
+	fmt.Fprintln(&b, "older than confirmed:", render(r.Adopt(start.Add(2*time.Second), []Instance{entry("3")})))
+	other := Roster{}
+	other.Adopt(start, []Instance{entry("2", beat), entry("1", beat)})
+	fmt.Fprintln(&b, "same digest without revisions:", r.Digest() == other.Digest())
+	other.Adopt(start.Add(time.Second), []Instance{entry("1"), entry("2", draining)})
+	fmt.Fprintln(&b, "other digest when draining:", r.Digest() != other.Digest())
+	golden.Check(t, "adopt", b.String())
+}
+
+func render(changes []Change) string {
+	var parts []string
+	for _, c := range changes {
+		what := "set"
+		if c.Removed {
+			what = "removed"
+		}
+		parts = append(parts, c.Instance.ID+" "+what)
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/lib/decision/routing/routing_test.go
@@ -0,0 +1,74 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"cassiarack.example/lib/golden"
+)
+
+// TestFind guards against a shorter prefix, another host, or a prefix that ends
+// inside a path segment.
+func TestFind(t *testing.T) {
+	one := []Destination{{Service: "s", Weight: 1}}
+	table := Compile(&Configuration{Routes: []Route{
+		{Name: "root", Host: "a.example", Prefix: "/", Destinations: one},
+		{Name: "short", Host: "a.example", Prefix: "/x/", Destinations: one},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/", Destinations: one},
+		{Name: "other", Host: "b.example", Prefix: "/x/", Destinations: one},
+	}})
+	var b strings.Builder
+	for _, c := range [][2]string{{"a.example", "/"}, {"a.example", "/x"}, {"a.example", "/x/"}, {"a.example", "/x/yz/1"},
+		{"a.example", "/x/y/1/2"}, {"A.EXAMPLE:8080", "/x/y/"}, {"a.example.", "/x//y/"}, {"b.example", "/x/y/"},
+		{"b.example", "/"}, {"c.example", "/x/"}, {"a.example", ""}, {"a.example", "x"}, {"", "/x/"}} {
+		name := "none"
+		if r := table.Find(c[0], c[1]); r != nil {
+			name = r.Name
+		}
+		fmt.Fprintf(&b, "%q %q: %s\n", c[0], c[1], name)
+	}
+	golden.Check(t, "find", b.String())
+}
+
+// TestSplitter guards against shares that stray from the weights, also in short
+// runs.
+func TestSplitter(t *testing.T) {
+	r := &Route{Name: "r", Destinations: []Destination{{"a", 70}, {"b", 20}, {"c", 10}}}
+	var s Splitter
+	var b strings.Builder
+	counts := map[string]int{}
+	for n := range 100 {
+		service := s.Next(r)
+		counts[service]++
+		if n < 20 {
+			b.WriteString(service)
+		}
+	}
+	fmt.Fprintf(&b, "\n%v\n", counts)
+	s.Reset()
+	fmt.Fprintln(&b, s.Next(&Route{Name: "r", Destinations: []Destination{{"d", 1}}}))
+	golden.Check(t, "splitter", b.String())
+}
+
+// TestTests guards against tests of doubtful instances by requests that need both
+// of their attempts, or that must not be repeated.
+func TestTests(t *testing.T) {
+	route := func(name string, idempotent bool, priority, attempts int, services ...string) Route {
+		r := Route{Name: name, Host: name, Prefix: "/", Idempotent: idempotent, Priority: priority, Attempts: attempts}
+		for _, s := range services {
+			r.Destinations = append(r.Destinations, Destination{Service: s, Weight: 1})
+		}
+		return r
+	}
+	table := Compile(&Configuration{Routes: []Route{
+		route("unsafe", false, 3, 2, "a"), route("nested", true, 1, 2, "a", "b"), route("read", true, 2, 2, "a"),
+		route("once", true, 5, 1, "a"),
+	}})
+	var b strings.Builder
+	for i := range table.Configuration.Routes {
+		r := &table.Configuration.Routes[i]
+		fmt.Fprintf(&b, "%s: a %t, b %t\n", r.Name, table.Tests(r, "a"), table.Tests(r, "b"))
+	}
+	golden.Check(t, "tests", b.String())
+}
