Deliver answers that wait behind a request at the end of a stop

A request that was answered at 28.542 s waited behind a longer one of its connection; the stop that began at 26.659 s closed the connection after 5.3 s with the answer unsent. Ruled out: the gate, whose run had ended with 200. Change: shortly before the end of a stop the requests in flight are given up, and the answers behind them are sent. TestStopDeliversBlockedAnswers failed before.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -121,7 +121,9 @@
 			return nil
 		}
 		go func() {
-			e.answer <- c.service.handle(ctx, head, body, received)
+			request, end := c.service.requestContext(ctx)
+			defer end()
+			e.answer <- c.service.handle(request, head, body, received)
 		}()
 		if head.Close {
 			return nil
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -205,3 +205,27 @@
 		is.True(resp.Close)
 	}
 }
+
+// TestStopDeliversBlockedAnswers guards against complete answers that are lost at
+// the end of a stop, because an earlier request of their connection is not
+// answered yet.
+func TestStopDeliversBlockedAnswers(t *testing.T) {
+	is := is.New(t)
+	s, f, address, cancel := start(t)
+	c := dial(t, address)
+	_, err := io.WriteString(c, get("/a/1?20s")+get("/a/2"))
+	is.NoErr(err)
+	for s.inflight.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/a/1?20s", "/a/2"} {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.Header.Get("X-Test"), want)
+	}
+	is.Equal(<-f.left, "/a/1?20s") // the first one was given up
+}
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -37,6 +37,9 @@
 	drainTime = 2800 * time.Millisecond
 	// drainPoll is how often a stop looks for requests in flight.
 	drainPoll = 50 * time.Millisecond
+	// abortMargin is kept to the end of a stop for the answers of requests that
+	// are still in flight then, and for those that wait behind them.
+	abortMargin = 250 * time.Millisecond
 	// startLimits apply before the first configuration.
 	startHeaderBytes   = 16 << 10
 	startHeaderTimeout = 5 * time.Second
@@ -83,6 +86,8 @@
 	draining atomic.Bool
 	// sealed is set when no further request is taken.
 	sealed   atomic.Bool
+	// aborted is closed when the requests in flight are given up.
+	aborted  chan struct{}
 	inflight atomic.Int64
 
 	splitMu  sync.Mutex
@@ -106,6 +111,7 @@
 		return err
 	}
 	s.conns = make(map[*conn]struct{})
+	s.aborted = make(chan struct{})
 	s.journal, err = kernel.Find[Journal](dir, names.Journal)
 	return err
 }
@@ -148,11 +154,14 @@
 
 // Drain implements kernel.Drainer: clients are led away by the answer to the
 // platform's question whether the sidecar is ready, and connections close after
-// their next answer.
+// their next answer. Requests that are still in flight shortly before ctx ends
+// are given up, so that complete answers behind them are delivered.
 func (s *Service) Drain(ctx context.Context) error {
-	if !clock.Sleep(ctx, drainTime) {
-		return fmt.Errorf("ingress: %d requests in flight at the end of the stop", s.inflight.Load())
+	if end, ok := ctx.Deadline(); ok {
+		t := time.AfterFunc(time.Until(end)-abortMargin, s.abort)
+		defer t.Stop()
 	}
+	clock.Sleep(ctx, drainTime)
 	// The instance needs this sidecar for its calls until its work is done.
 	for s.inflight.Load() > 0 || s.gate.Running() > 0 {
 		if !clock.Sleep(ctx, drainPoll) {
@@ -163,6 +172,27 @@
 	return nil
 }
 
+// abort takes no more requests and ends those in flight.
+func (s *Service) abort() {
+	s.sealed.Store(true)
+	s.Log.Warn("Requests in flight are given up at the end of the stop.", "requests", s.inflight.Load())
+	close(s.aborted)
+}
+
+// requestContext returns a context that ends with ctx or when requests are given
+// up.
+func (s *Service) requestContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-s.aborted:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 func (s *Service) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
