Follow a request through the logs, and lint the new modules

Lines of a request appear at the sidecar that took it and at the gate, with belief, age of the evidence and of the published state; successes are sampled by the request's identifier, so that all sidecars log the same ones. cassiarack request and cassiarack timeline read log files. test.sh covers platform and sidecar and runs the build line of the deploy file.

--- a/lib/decision/roster/roster.go
+++ b/lib/decision/roster/roster.go
@@ -72,18 +72,13 @@
 		return nil
 	}
 	gap := !r.readAt.IsZero() && readAt.Sub(r.readAt) > gapLimit
-	r.readAt = readAt
-	var changes []Change
-	next := make(map[string]Instance, len(list))
+	missing := make(map[string]time.Time)
+	listed := make(map[string]bool, len(list))
 	for _, i := range list {
-		next[i.ID] = i
-		if old, ok := r.instances[i.ID]; !ok || !old.same(i) {
-			changes = append(changes, Change{Instance: i})
-		}
+		listed[i.ID] = true
 	}
-	missing := make(map[string]time.Time)
 	for id, old := range r.instances {
-		if _, ok := next[id]; ok {
+		if listed[id] {
 			continue
 		}
 		until, known := r.missing[id]
@@ -91,14 +86,12 @@
 			until, known = now.Add(returnTime), true
 		}
 		if known && now.Before(until) {
-			missing[id], next[id] = until, old
-			continue
+			missing[id] = until
+			list = append(list, old)
 		}
-		changes = append(changes, Change{Instance: old, Removed: true})
 	}
-	r.instances, r.missing = next, missing
-	sortChanges(changes)
-	return changes
+	r.missing = missing
+	return r.set(readAt, list)
 }
 
 // Adopt takes over the list of another node that was read at readAt. The other
@@ -107,8 +100,13 @@
 	if !readAt.After(r.readAt) {
 		return nil
 	}
-	r.readAt = readAt
 	r.missing = nil
+	return r.set(readAt, list)
+}
+
+// set puts a list in place and returns the changes.
+func (r *Roster) set(readAt time.Time, list []Instance) []Change {
+	r.readAt = readAt
 	next := make(map[string]Instance, len(list))
 	var changes []Change
 	for _, i := range list {
--- /dev/null
+++ b/operator/logfile/logfile.go
@@ -0,0 +1,193 @@
+// Package logfile reads the log lines of sidecars and joins those of one request
+// or of one incident.
+package logfile
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLine bounds a line in bytes; longer ones are skipped.
+const maxLine = 1 << 20
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindRead Kind = "cannot be read"
+)
+
+// Error is the error of package logfile.
+type Error struct {
+	// Op is the operation that failed.
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("logfile: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Line is one log line of a sidecar.
+type Line struct {
+	Time time.Time `json:"time"`
+	// Source is the file of the line.
+	Source string `json:"source"`
+	// Part is the part of the sidecar, such as gate.
+	Part    string `json:"part"`
+	Level   string `json:"level"`
+	Message string `json:"message"`
+	// Fields holds the other keys in the order of the line.
+	Fields []Field `json:"fields"`
+}
+
+// Field is a key and its value.
+type Field struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Get returns the value of a key, or "".
+func (l *Line) Get(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Request returns the lines of a request and of the calls that name it as their
+// prefix, followed by a dot.
+func Request(source string, r io.Reader, id string) ([]Line, error) {
+	return scan(source, r, "request=", func(l *Line) bool {
+		got := l.Get("request")
+		return got == id || strings.HasPrefix(got, id+".")
+	})
+}
+
+// Events returns the lines that tell of a change of what a sidecar believes, of a
+// dependency, or of its start and stop.
+func Events(source string, r io.Reader) ([]Line, error) {
+	return scan(source, r, "", func(l *Line) bool { return l.Get("request") == "" })
+}
+
+// scan returns the lines that contain hint and that keep accepts. The hint saves
+// the parsing of the other lines.
+func scan(source string, r io.Reader, hint string, keep func(*Line) bool) ([]Line, error) {
+	var lines []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), maxLine)
+	for s.Scan() {
+		if hint != "" && !strings.Contains(s.Text(), hint) {
+			continue
+		}
+		if l, ok := parse(source, s.Text()); ok && keep(&l) {
+			lines = append(lines, l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, &Error{Op: "read " + source, Kind: KindRead, Err: err}
+	}
+	return lines, nil
+}
+
+// parse decodes a line in logfmt. Text before the time is skipped, as collectors
+// add their own prefixes.
+func parse(source, text string) (Line, bool) {
+	start := strings.Index(text, "time=")
+	if start < 0 {
+		return Line{}, false
+	}
+	l := Line{Source: source}
+	for rest := text[start:]; rest != ""; {
+		var key, value string
+		key, value, rest = next(rest)
+		switch key {
+		case "":
+			continue
+		case "time":
+			t, err := time.Parse(time.RFC3339Nano, value)
+			if err != nil {
+				return Line{}, false
+			}
+			l.Time = t
+		case "level":
+			l.Level = value
+		case "prefix":
+			l.Part = value
+		case "msg":
+			l.Message = value
+		default:
+			l.Fields = append(l.Fields, Field{Key: key, Value: value})
+		}
+	}
+	return l, l.Message != ""
+}
+
+// next cuts the first key and value off.
+func next(text string) (key, value, rest string) {
+	text = strings.TrimLeft(text, " ")
+	key, text, ok := strings.Cut(text, "=")
+	if !ok {
+		return "", "", ""
+	}
+	if !strings.HasPrefix(text, `"`) {
+		value, rest, _ = strings.Cut(text, " ")
+		return key, value, rest
+	}
+	var b strings.Builder
+	for i := 1; i < len(text); i++ {
+		switch c := text[i]; c {
+		case '\\':
+			if i++; i < len(text) {
+				b.WriteByte(text[i])
+			}
+		case '"':
+			return key, b.String(), text[i+1:]
+		default:
+			b.WriteByte(c)
+		}
+	}
+	return key, b.String(), ""
+}
+
+// Sort orders lines by time, then source.
+func Sort(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int {
+		if c := a.Time.Compare(b.Time); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Source, b.Source)
+	})
+}
+
+// Missing says which line of a request's story is not there, or "".
+func Missing(lines []Line) string {
+	parts := make(map[string]bool)
+	sent := false
+	for i := range lines {
+		l := &lines[i]
+		parts[l.Part] = true
+		if l.Part == "relay" && l.Get("sent") != "0" {
+			sent = true
+		}
+	}
+	switch {
+	case len(lines) == 0:
+		return "no line names this request: it was a success that was not sampled, or the logs of its sidecar are missing"
+	case !parts["relay"] && !parts["ingress"]:
+		return "the line of the sidecar that took the request is missing"
+	case sent && !parts["gate"]:
+		return "the line of the gate is missing: the log of the instance's sidecar was not given, or the sidecar was killed"
+	}
+	return ""
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -105,7 +105,7 @@
 		return ff.ErrHelp
 	}
 	root.Subcommands = []*ff.Command{checkCommand(), planCommand(), statusCommand(), followCommand(), watchCommand(),
-		explainCommand()}
+		explainCommand(), requestCommand(), timelineCommand()}
 	root.Subcommands = append(root.Subcommands, completionCommand(root))
 	return root
 }
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -230,7 +230,8 @@
 	answer, reusable, err = cn.receive(r)
 	if err != nil {
 		cn.net.Close()
-		<-sent
+		// The error of the read tells more than that of the write.
+		_ = <-sent
 		return nil, false, err
 	}
 	select {
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -23,6 +23,7 @@
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
+	"cassiarack.example/sidecar/journal"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/notice"
 	"cassiarack.example/sidecar/publication"
@@ -52,6 +53,7 @@
 	publication *publication.Service
 	notices     *notice.Service
 	client      *backend.Client
+	journal     *journal.Service
 
 	commands  *ring.Ring[func(now time.Time)]
 	executing atomic.Int64
@@ -88,6 +90,9 @@
 	if s.notices, err = kernel.Find[*notice.Service](dir, names.Notices); err != nil {
 		return err
 	}
+	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
+		return err
+	}
 	p, err := kernel.Find[*peers.Service](dir, names.Peers)
 	if err != nil {
 		return err
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -40,6 +40,11 @@
 		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(admission.ReasonFull)}, nil
 	}
 	if reason := s.await(ctx, j); reason != "" {
+		if now := time.Now(); s.journal.AllowRequest(now, r.GetAttempt(), false) {
+			s.Log.Info("A request was refused.", "request", r.GetAttempt(), "instance", r.GetInstance(),
+				"reason", reason, "patience", time.Duration(r.GetPatience()), "acceptance", r.GetAcceptance(),
+				"waited", now.Sub(received), "left", time.Duration(r.GetRemaining())-now.Sub(received))
+		}
 		s.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter("gate_refusals").Inc(1)
 		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(reason),
 			Condition: s.ask(ctx)}, nil
@@ -115,12 +120,23 @@
 	}); err == nil {
 		reply.Condition = <-condition
 	}
-	s.Log.Debug("A request ended at the instance.", "request", r.GetAttempt(), "instance", r.GetInstance(),
-		"outcome", reply.GetOutcome(), "status", reply.GetStatus(), "reason", reply.GetReason(),
-		"waited", started.Sub(received), "ran", ended.Sub(started))
+	success := reply.GetOutcome() == wire.RunOutcome_RUN_OUTCOME_ANSWERED && reply.GetStatus() < http.StatusInternalServerError
+	if s.journal.AllowRequest(ended, r.GetAttempt(), success) {
+		s.Log.Info("A request ended at the instance.", "request", r.GetAttempt(), "instance", r.GetInstance(),
+			"outcome", outcomeNames[reply.GetOutcome()], "status", reply.GetStatus(), "reason", reply.GetReason(),
+			"failing", float64(reply.GetCondition().GetFailingPermille())/1000, "weight", e.weight, "test", j.test,
+			"waited", started.Sub(received), "ran", ended.Sub(started))
+	}
 	return reply, nil
 }
 
+// outcomeNames are the outcomes in log lines.
+var outcomeNames = map[wire.RunOutcome]string{
+	wire.RunOutcome_RUN_OUTCOME_ANSWERED: "answered",
+	wire.RunOutcome_RUN_OUTCOME_REFUSED:  "refused",
+	wire.RunOutcome_RUN_OUTCOME_UNKNOWN:  "unknown",
+}
+
 // outcome translates the end of an exchange.
 func outcome(answer *message.Answer, err error) *wire.RunReply {
 	switch {
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -15,7 +15,9 @@
 	attempt := platform.Attempt(head.Header)
 	table := s.publication.State().Table
 	if table == nil {
-		s.Log.Warn("A request was refused.", "request", attempt, "reason", "no configuration")
+		if s.journal.AllowRequest(received, attempt, false) {
+			s.Log.Warn("A request was refused.", "request", attempt, "reason", "no configuration")
+		}
 		return &message.Answer{Status: http.StatusServiceUnavailable, Own: true,
 			Header: platform.Refusal(attempt, retryAfterStart), Body: []byte("not run: no configuration\n")}
 	}
@@ -26,7 +28,7 @@
 	path, _, _ := strings.Cut(target, "?")
 	route := table.Find(head.Host, path)
 	if route == nil {
-		if s.journal.AllowRequest(received, false) {
+		if s.journal.AllowRequest(received, attempt, false) {
 			s.Log.Warn("A request has no route.", "request", attempt, "host", head.Host, "path", path,
 				"configVersion", table.Configuration.Version)
 		}
--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -115,28 +115,8 @@
 // parseHead parses the head of a request and refuses what different readers
 // could take for different requests.
 func parseHead(text []byte) (*http.Request, error) {
-	lengths, encodings := 0, 0
-	lines := bytes.Split(text, []byte("\n"))
-	for n, line := range lines[:len(lines)-1] {
-		if !bytes.HasSuffix(line, []byte("\r")) || bytes.IndexByte(line, '\r') != len(line)-1 {
-			return nil, &refusal{http.StatusBadRequest, "a line does not end in CR LF"}
-		}
-		if n > 0 && (line[0] == ' ' || line[0] == '\t') {
-			return nil, &refusal{http.StatusBadRequest, "a header is continued on another line"}
-		}
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		if n > 0 && len(bytes.TrimRight(name, " \t")) < len(name) {
-			return nil, &refusal{http.StatusBadRequest, "a header name ends in space"}
-		}
-		switch strings.ToLower(string(name)) {
-		case "content-length":
-			lengths++
-		case "transfer-encoding":
-			encodings++
-		}
-	}
-	if lengths > 1 || encodings > 1 || lengths+encodings > 1 {
-		return nil, &refusal{http.StatusBadRequest, "the length of the body is ambiguous"}
+	if err := checkLines(text); err != nil {
+		return nil, err
 	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text)))
 	if err != nil {
@@ -151,6 +131,35 @@
 	return r, nil
 }
 
+// checkLines refuses a head whose lines or body length are ambiguous.
+func checkLines(text []byte) error {
+	lengths := 0
+	lines := bytes.Split(text, []byte("\n"))
+	for n, line := range lines[:len(lines)-1] {
+		if !bytes.HasSuffix(line, []byte("\r")) || bytes.IndexByte(line, '\r') != len(line)-1 {
+			return &refusal{http.StatusBadRequest, "a line does not end in CR LF"}
+		}
+		if n == 0 {
+			continue
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			return &refusal{http.StatusBadRequest, "a header is continued on another line"}
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if len(bytes.TrimRight(name, " \t")) < len(name) {
+			return &refusal{http.StatusBadRequest, "a header name ends in space"}
+		}
+		switch strings.ToLower(string(name)) {
+		case "content-length", "transfer-encoding":
+			lengths++
+		}
+	}
+	if lengths > 1 {
+		return &refusal{http.StatusBadRequest, "the length of the body is ambiguous"}
+	}
+	return nil
+}
+
 // readBody reads the whole body of a request.
 func (c *conn) readBody(r *http.Request) ([]byte, error) {
 	limit := int64(message.MaxBody)
--- a/sidecar/journal/journal.go
+++ b/sidecar/journal/journal.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"cassiarack.example/lib/kernel"
@@ -37,8 +38,7 @@
 	lines *ring.Ring[[]byte]
 	level log.Level
 
-	dropped   atomic.Uint64
-	successes atomic.Uint64
+	dropped atomic.Uint64
 
 	mu     sync.Mutex
 	tokens float64
@@ -66,9 +66,10 @@
 }
 
 // AllowRequest reports whether a line about a request may be written. Successes
-// are sampled; all lines about requests share a rate.
-func (s *Service) AllowRequest(now time.Time, success bool) bool {
-	if success && s.successes.Add(1)%SuccessSample != 1 {
+// are sampled by the identifier, so that all sidecars log the same ones; all lines
+// about requests share a rate.
+func (s *Service) AllowRequest(now time.Time, attempt string, success bool) bool {
+	if success && xxhash.Sum64String(attempt)%SuccessSample != 0 {
 		return false
 	}
 	s.mu.Lock()
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -199,6 +199,10 @@
 
 // apply publishes changes of the roster.
 func (s *Service) apply(changes []roster.Change, source string) {
+	if len(changes) == 0 {
+		s.confirm(s.roster.ReadAt())
+		return
+	}
 	if len(changes) > maxChangesLogged {
 		s.Log.Info("Many instances changed.", "changes", len(changes), "source", source)
 		changes = nil
@@ -211,6 +215,14 @@
 	s.publish()
 }
 
+// confirm records that the present state was still current at readAt.
+func (s *Service) confirm(readAt time.Time) {
+	s.roster.Confirm(readAt)
+	st := *s.state.Load()
+	st.ReadAt = s.roster.ReadAt()
+	s.state.Store(&st)
+}
+
 // publish makes the present state visible to other services.
 func (s *Service) publish() {
 	st := &State{Table: s.config.table, Services: make(map[string][]roster.Instance),
@@ -259,7 +271,7 @@
 			}
 			return
 		}
-		s.roster.Confirm(readAt)
+		s.confirm(readAt)
 	})
 	if err != nil {
 		s.Log.Warn("An announcement was dropped.", "from", from, "err", err)
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -56,7 +56,5 @@
 			Address: address, DataCentre: i.GetDataCentre(), Slots: int(i.GetSlots()), Draining: i.GetDraining(),
 			Cold: i.GetCold(), Revision: i.GetRevision()})
 	}
-	if changes := s.roster.Adopt(now.Add(-time.Duration(r.GetAge())), list); len(changes) > 0 {
-		s.apply(changes, from.String())
-	}
+	s.apply(s.roster.Adopt(now.Add(-time.Duration(r.GetAge())), list), from.String())
 }
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -56,6 +56,7 @@
 	// instance is where the last offer went.
 	instance string
 	failing  float64
+	evidence time.Time
 }
 
 // Serve returns the answer to a request. It ends at the deadline of the request
@@ -112,7 +113,7 @@
 		return p.again()
 	}
 	p.offers++
-	p.instance, p.failing = pl.ID, pl.failing
+	p.instance, p.failing, p.evidence = pl.ID, pl.failing, pl.evidence
 	reply, err := s.offer(ctx, r, pl, p)
 	now := time.Now()
 	s.tellDuty(func(now time.Time) { s.returned(now, pl.ID, reply.GetCondition(), err == nil) })
@@ -261,13 +262,22 @@
 	success := a.Status < http.StatusInternalServerError
 	s.Scope.Tagged(map[string]string{"outcome": outcomeName(a)}).Counter("requests").Inc(1)
 	s.Scope.Timer("request_time").Record(now.Sub(r.Received))
-	if !s.journal.AllowRequest(now, success) {
+	if !s.journal.AllowRequest(now, r.Attempt, success) {
 		return
 	}
 	s.Log.Info("A request ended.", "request", r.Attempt, "route", r.Route.Name, "service", r.Service,
 		"configVersion", r.ConfigVersion, "status", a.Status, "own", a.Own, "reason", p.reason, "offers", p.offers,
-		"sent", p.sent, "rejected", p.rejected, "instance", p.instance, "failing", p.failing, "took", now.Sub(r.Received),
-		"left", r.Deadline.Sub(now))
+		"sent", p.sent, "rejected", p.rejected, "instance", p.instance, "failing", p.failing,
+		"evidenceAge", age(now, p.evidence), "stateAge", age(now, s.publication.State().ReadAt),
+		"took", now.Sub(r.Received), "left", r.Deadline.Sub(now))
+}
+
+// age returns the time since t, or -1 ns if t is not known.
+func age(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t)
 }
 
 func outcomeName(a *message.Answer) string {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -132,7 +132,7 @@
 		{Name: names.Publication, Needs: []string{names.Peers, names.Notices}, Service: &publication.Service{
 			Store: store, Self: s.Fleet.Addr(), DataCentre: s.DataCentre, Port: port, Random: random(), Scope: scope,
 			Log: j.Logger("publication")}},
-		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication}, Service: &gate.Service{
+		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
 			Instance: s.Instance, Scope: scope, Log: j.Logger("gate")}},
 		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Journal},
 			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 # runs formatter, linter, vet, the check of generated code and all tests.
 set -euo pipefail
 cd "$(dirname "$0")"
-modules=(lib node operator standin)
+modules=(lib platform sidecar node operator standin)
 
 step() { printf '== %s\n' "$*"; }
 
@@ -12,6 +12,9 @@
 (cd tools && GOWORK=off go build -o ../.bin/ tool)
 export PATH="$PWD/.bin:$PATH"
 
+step 'build line of the deploy file'
+bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
+
 step formatter
 unformatted=$(gofmt -l "${modules[@]}")
 if [ -n "$unformatted" ]; then
