--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -19,11 +19,7 @@
 	// safetyShare of the expected run time must be left before the target for a
 	// request to count as on time. Above one, since run times vary: a queue that
 	// starts requests with no time to spare finishes about half of them late.
-	safetyShare = 1.4
-	// lateShare is the part of the time between target and deadline in which a
-	// wait is still accepted. A request that waits longer is likely to end
-	// unserved, and its caller could have been told at once.
-	lateShare = 0.5
+	safetyShare = 1.0
 )
 
 // Reason says why a request is refused.
@@ -48,14 +44,6 @@
 	Patience time.Duration
 }
 
-// latest returns when a request that waits should be answered at the latest.
-func (r Request) latest() time.Time {
-	if !r.Target.Before(r.Deadline) {
-		return r.Deadline
-	}
-	return r.Target.Add(time.Duration(lateShare * float64(r.Deadline.Sub(r.Target))))
-}
-
 // Entry is a request that waits, with the value that the caller gave.
 type Entry[T any] struct {
 	Request
@@ -99,7 +87,7 @@
 		return true, ""
 	}
 	wait := q.wait(now, r)
-	if wait > r.Patience || now.Add(wait).Add(q.Expected(r.Route)).After(r.latest()) {
+	if wait > r.Patience || now.Add(wait).Add(q.leastWork(r)).After(r.Deadline) {
 		return false, ReasonFull
 	}
 	q.waiting = append(q.waiting, Entry[T]{Request: r, Value: v, Since: now})
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -230,8 +230,9 @@
 	answer, reusable, err = cn.receive(r)
 	if err != nil {
 		cn.net.Close()
-		// The error of the read tells more than that of the write.
-		_ = <-sent
+		if sendErr := <-sent; sendErr != nil {
+			err = fmt.Errorf("%w (send: %w)", err, sendErr)
+		}
 		return nil, false, err
 	}
 	select {
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 	mu       sync.Mutex
 	requests []*message.Request
 	left     chan string
+	running  atomic.Int64
 }
 
 func (f *fake) Bind(*kernel.Directory) error              { return nil }
@@ -229,3 +231,33 @@
 	}
 	is.Equal(<-f.left, "/a/1?20s") // the first one was given up
 }
+
+// TestLateInStop guards against requests that are taken so late in a stop that
+// its end breaks them off. Calls of work that the instance has begun are taken
+// while they can end in time.
+func TestLateInStop(t *testing.T) {
+	is := is.New(t)
+	s, f, address, cancel := start(t)
+	ask := func(header string) int {
+		c := dial(t, address)
+		_, err := io.WriteString(c, "GET /a/1 HTTP/1.1\r\nHost: h.example\r\n"+header+"\r\n")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		return resp.StatusCode
+	}
+	const short = "X-Cassiarack-Deadline-Ms: 500\r\n"
+	f.running.Store(1)
+	cancel()
+	for !s.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(ask(""), 200) // early in the stop
+	for s.abortAt.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(ask(short), 200) // ends before the stop
+	is.Equal(ask(""), 503)    // may last 5 s
+	f.running.Store(0)
+	is.Equal(ask(short), 503) // no call of the instance
+}
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -39,6 +39,13 @@
 	if d, ok := platform.Deadline(head.Header); ok && d < route.Timeout {
 		deadline = received.Add(d)
 	}
+	if !s.admits(deadline) {
+		if s.journal.AllowRequest(received, attempt, false) {
+			s.Log.Info("A request was refused.", "request", attempt, "reason", "the sidecar stops", "route", route.Name)
+		}
+		return &message.Answer{Status: http.StatusServiceUnavailable, Own: true,
+			Header: platform.Refusal(attempt, retryAfterStart), Body: []byte("not run: the sidecar stops\n")}
+	}
 	a := s.relay.Serve(ctx, &message.Request{
 		Attempt: attempt, Method: head.Method, Target: target, Host: head.Host,
 		Header: platform.RequestHeader(head.Header, s.CallerService), Body: body,
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -87,7 +87,10 @@
 	// sealed is set when no further request is taken.
 	sealed atomic.Bool
 	// aborted is closed when the requests in flight are given up.
-	aborted  chan struct{}
+	aborted chan struct{}
+	// abortAt is when that will be, in Unix nanoseconds; zero before drainTime has
+	// passed in a stop.
+	abortAt  atomic.Int64
 	inflight atomic.Int64
 
 	splitMu  sync.Mutex
@@ -157,11 +160,14 @@
 // their next answer. Requests that are still in flight shortly before ctx ends
 // are given up, so that complete answers behind them are delivered.
 func (s *Service) Drain(ctx context.Context) error {
-	if end, ok := ctx.Deadline(); ok {
-		t := time.AfterFunc(time.Until(end)-abortMargin, s.abort)
-		defer t.Stop()
+	end, ok := ctx.Deadline()
+	if !ok {
+		return errors.New("ingress: drain needs a deadline")
 	}
+	t := time.AfterFunc(time.Until(end)-abortMargin, s.abort)
+	defer t.Stop()
 	clock.Sleep(ctx, drainTime)
+	s.abortAt.Store(end.Add(-abortMargin).UnixNano())
 	// The instance needs this sidecar for its calls until its work is done.
 	for s.inflight.Load() > 0 || s.gate.Running() > 0 {
 		if !clock.Sleep(ctx, drainPoll) {
@@ -172,6 +178,15 @@
 	return nil
 }
 
+// admits reports whether a request that may last until deadline can still be
+// taken. Late in a stop only calls of work that the instance has begun are taken,
+// and only if they end before the stop does: whatever is broken off at the end
+// may have run.
+func (s *Service) admits(deadline time.Time) bool {
+	at := s.abortAt.Load()
+	return at == 0 || s.gate.Running() > 0 && deadline.UnixNano() < at
+}
+
 // abort takes no more requests and ends those in flight.
 func (s *Service) abort() {
 	s.sealed.Store(true)
