--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -39,7 +39,7 @@
 func (f *fake) Run(ctx context.Context) error             { <-ctx.Done(); return nil }
 func (f *fake) State() *publication.State                 { return f.state }
 func (f *fake) NestedFailed(time.Time)                    {}
-func (f *fake) Running() int                              { return 0 }
+func (f *fake) Running() int                              { return int(f.running.Load()) }
 func (f *fake) AllowRequest(time.Time, string, bool) bool { return false }
 
 // Serve answers with the target after the time that the query names.
