Add stand-ins of the platform and a soak with real sidecars

The soak runs sidecars as processes on loopback addresses, injects faults from outside (signals, proxies before instances and store, a faulty store and faulty instances, new configurations) and checks the promises from what clients and instances see.

--- a/standin/main.go
+++ b/standin/main.go
@@ -21,7 +21,7 @@
 		Name:        "cassiarack-standin",
 		Usage:       "cassiarack-standin COMMAND [FLAGS]",
 		ShortHelp:   "stand-ins for the systems around a fleet",
-		Subcommands: []*ff.Command{demoCommand(), fleetCommand(), reportCommand()},
+		Subcommands: []*ff.Command{demoCommand(), fleetCommand(), reportCommand(), soakCommand()},
 		Exec:        func(context.Context, []string) error { return ff.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, os.Args[1:], ff.WithEnvVarPrefix("CASSIARACK_STANDIN"))
--- /dev/null
+++ b/standin/mesh/instance.go
@@ -0,0 +1,191 @@
+package mesh
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Modes of an instance. Each affects about half of its requests.
+const (
+	Errors    Mode = "errors"    // runs and answers 500
+	Sheds     Mode = "sheds"     // answers 503, not run
+	Hangs     Mode = "hangs"     // runs and does not answer
+	Lost      Mode = "lost"      // runs and closes without an answer
+	Cuts      Mode = "cuts"      // runs and breaks its answer off
+	Extra     Mode = "extra"     // answers twice
+	ExtraLate Mode = "extraLate" // answers twice, the second time later
+	Unframed  Mode = "unframed"  // answers without a length
+	Garbage   Mode = "garbage"   // sends bytes that are no answer
+	Unsigned  Mode = "unsigned"  // answers without its signature
+)
+
+// InstanceModes are all ways in which an instance may misbehave.
+var InstanceModes = []Mode{Errors, Sheds, Hangs, Lost, Cuts, Extra, ExtraLate, Unframed, Garbage, Unsigned}
+
+// extraDelay is when a late second answer is sent.
+const extraDelay = 30 * time.Millisecond
+
+// Runs counts the executions of requests at all instances.
+type Runs struct {
+	mu       sync.Mutex
+	attempts map[string][]run
+	faults   []string
+}
+
+type run struct {
+	instance string
+	at       time.Time
+}
+
+// NewRuns returns an empty count.
+func NewRuns() *Runs { return &Runs{attempts: make(map[string][]run)} }
+
+func (r *Runs) add(attempt, instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts[attempt] = append(r.attempts[attempt], run{instance, time.Now()})
+}
+
+func (r *Runs) fault(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, fmt.Sprintf(format, args...))
+}
+
+// of returns the executions of an attempt.
+func (r *Runs) of(attempt string) []run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.attempts[attempt]
+}
+
+// Instance stands in for an application instance.
+type Instance struct {
+	ID, Service string
+	Work        time.Duration
+	Runs        *Runs
+
+	mu        sync.Mutex
+	mode      Mode
+	leavingAt time.Time
+}
+
+// SetMode changes how the instance behaves.
+func (i *Instance) SetMode(m Mode) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.mode = m
+}
+
+// Leave records when the store acknowledged that the instance drains.
+func (i *Instance) Leave(at time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.leavingAt = at
+}
+
+// body is the answer to an attempt, which only that attempt can have.
+func body(attempt string) string {
+	sum := xxhash.Sum64String(attempt)
+	return strings.Repeat(fmt.Sprintf("%s-%x;", attempt, sum), 1+int(sum%40))
+}
+
+// ServeHTTP implements http.Handler.
+func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get("X-Cassiarack-Attempt-Id")
+	if target := r.Header.Get("X-Cassiarack-Target-Instance"); target != i.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	i.mu.Lock()
+	mode, leavingAt := i.mode, i.leavingAt
+	i.mu.Unlock()
+	if !leavingAt.IsZero() && time.Since(leavingAt) > drainBound {
+		i.Runs.fault("drain: %s got %s %v after it was draining", i.ID, attempt, time.Since(leavingAt))
+	}
+	ms, err := strconv.Atoi(r.Header.Get("X-Cassiarack-Deadline-Ms"))
+	if err != nil || ms > int(clientDeadline.Milliseconds())+500 {
+		i.Runs.fault("deadline: %s got %q", attempt, r.Header.Get("X-Cassiarack-Deadline-Ms"))
+	}
+	if got := r.Header.Get("X-Cassiarack-Caller-Service"); got == "" || got == "forged" {
+		i.Runs.fault("caller: %s names %q", attempt, got)
+	}
+	if rand.IntN(2) == 0 {
+		mode = Sound
+	}
+	if mode == Sheds {
+		w.Header().Set("X-Cassiarack-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	i.Runs.add(attempt, i.ID)
+	if sent, err := io.ReadAll(r.Body); err != nil || len(sent) > 0 && string(sent) != body(attempt) {
+		i.Runs.fault("body: %s was changed: %q, %v", attempt, sent, err)
+	}
+	select {
+	case <-time.After(i.Work/2 + rand.N(i.Work)):
+	case <-r.Context().Done():
+		return
+	}
+	i.answer(w, r, attempt, mode)
+}
+
+// answer sends the answer in the way of the mode.
+func (i *Instance) answer(w http.ResponseWriter, r *http.Request, attempt string, mode Mode) {
+	text := body(attempt)
+	head := fmt.Sprintf("X-Cassiarack-Attempt-Id: %s\r\nX-Cassiarack-Response-Signature: %s\r\n", attempt, i.ID)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
+	switch mode {
+	case Errors:
+		raw(w, fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 0\r\n\r\n", head), "", 0)
+	case Hangs:
+		<-r.Context().Done()
+	case Lost:
+		abort(w)
+	case Cuts:
+		raw(w, whole[:len(whole)-1-rand.IntN(len(text))], "", 0)
+	case Extra:
+		raw(w, whole, strings.ReplaceAll(whole, attempt, "other"), 0)
+	case ExtraLate:
+		raw(w, whole, strings.ReplaceAll(whole, attempt, "other"), extraDelay)
+	case Unframed:
+		raw(w, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+text, "", 0)
+	case Garbage:
+		raw(w, "GARBAGE "+whole, "", 0)
+	case Unsigned:
+		raw(w, strings.ReplaceAll(whole, "X-Cassiarack-Response-Signature", "X-Other"), "", 0)
+	default:
+		w.Header().Set("X-Cassiarack-Attempt-Id", attempt)
+		w.Header().Set("X-Cassiarack-Response-Signature", i.ID)
+		// A caller that has gone is no fault of the instance.
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+// raw writes bytes to the connection of a request and closes it, after a delay
+// and more bytes where they are given.
+func raw(w http.ResponseWriter, first, second string, delay time.Duration) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		panic("mesh: the server cannot hijack connections")
+	}
+	c, _, err := h.Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, first); err != nil || second == "" {
+		return
+	}
+	time.Sleep(delay)
+	// The sidecar may have closed the connection after the first answer.
+	_, _ = io.WriteString(c, second)
+}
--- /dev/null
+++ b/standin/mesh/mesh.go
@@ -0,0 +1,272 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// Ports of each VM; the addresses differ.
+const (
+	portInstance = 8000 + iota
+	portProxy
+	portCallers
+	portReady
+	portFleet
+	portMetrics
+)
+
+const (
+	// drainBound is when a draining instance must get no more requests.
+	drainBound = 2500 * time.Millisecond
+	// graceTime is the time from SIGTERM to SIGKILL.
+	graceTime = 6 * time.Second
+	// readyPoll is how often a start looks whether all sidecars are ready.
+	readyPoll = 20 * time.Millisecond
+	// instanceWork is the mean run time of a request.
+	instanceWork = 20 * time.Millisecond
+)
+
+// VM is a VM with an instance and a sidecar.
+type VM struct {
+	Index      int
+	Address    netip.Addr
+	DataCentre string
+	Instance   *Instance
+
+	server  *http.Server
+	proxy   *toxiproxy.Proxy
+	store   *toxiproxy.Proxy
+	process *exec.Cmd
+	exited  chan struct{}
+	// disturbed is when a fault last struck the VM, in Unix nanoseconds.
+	disturbed atomic.Int64
+}
+
+// Mesh is a fleet of sidecars with its stand-ins.
+type Mesh struct {
+	// Program is the sidecar's binary.
+	Program string
+	// Folder receives settings and logs.
+	Folder string
+	// Services has the number of instances of each service.
+	Services map[string]int
+	// Network is the second number of the loopback addresses, so that several
+	// fleets can run at a time.
+	Network int
+
+	Store *Store
+	Runs  *Runs
+	VMs   []*VM
+
+	storeServer *http.Server
+	toxics      *toxiproxy.ApiServer
+	version     int
+	routes      []route
+}
+
+// Start starts the stand-ins and all sidecars, and waits until they are ready.
+func (m *Mesh) Start(ctx context.Context) error {
+	m.Store, m.Runs = NewStore(), NewRuns()
+	m.toxics = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	listener, err := net.Listen("tcp", m.address(250, portCallers).String())
+	if err != nil {
+		return fmt.Errorf("start store: %w", err)
+	}
+	m.storeServer = &http.Server{Handler: m.Store}
+	serve(m.storeServer, listener)
+	m.routes = []route{{"read", "/read/", "safe", "alpha", 2, 2}, {"accept", "/accept/", "unsafe", "alpha", 2, 2},
+		{"other", "/other/", "safe", "beta", 2, 2}}
+	m.Configure(nil)
+	for service, n := range m.Services {
+		for range n {
+			if err := m.addVM(service); err != nil {
+				return err
+			}
+		}
+	}
+	for _, v := range m.VMs {
+		if err := m.Launch(v); err != nil {
+			return err
+		}
+	}
+	return m.awaitReady(ctx)
+}
+
+func (m *Mesh) address(vm, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(m.Network), 0, byte(vm)}), uint16(port))
+}
+
+// Configure publishes a new version, with further routes added.
+func (m *Mesh) Configure(add []route) {
+	m.version += 1 + rand.IntN(3)
+	m.routes = append(m.routes, add...)
+	m.Store.Put("op/config", config(m.version, m.routes, []string{"alpha", "beta"}))
+}
+
+func (m *Mesh) addVM(service string) error {
+	n := len(m.VMs) + 1
+	v := &VM{Index: n, Address: m.address(n, 0).Addr(), DataCentre: fmt.Sprintf("dc%d", n%3),
+		Instance: &Instance{ID: fmt.Sprintf("i-%d", n), Service: service, Work: instanceWork, Runs: m.Runs, mode: Sound}}
+	listener, err := net.Listen("tcp", m.address(n, portInstance).String())
+	if err != nil {
+		return fmt.Errorf("start instance: %w", err)
+	}
+	v.server = &http.Server{Handler: v.Instance}
+	serve(v.server, listener)
+	if v.proxy, err = m.proxy(fmt.Sprintf("instance%d", n), m.address(n, portProxy), listener.Addr().String()); err != nil {
+		return err
+	}
+	if v.store, err = m.proxy(fmt.Sprintf("store%d", n), netip.AddrPortFrom(m.address(n, 0).Addr(), 8020),
+		m.address(250, portCallers).String()); err != nil {
+		return err
+	}
+	m.VMs = append(m.VMs, v)
+	m.Register(v, "ready")
+	return nil
+}
+
+// serve runs a server until it is closed. A stand-in that cannot serve makes the
+// run worthless.
+func serve(s *http.Server, l net.Listener) {
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	}()
+}
+
+// closeServer ends a server and its connections.
+func closeServer(s *http.Server) {
+	if err := s.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		panic(err)
+	}
+}
+
+func (m *Mesh) proxy(name string, listen netip.AddrPort, upstream string) (*toxiproxy.Proxy, error) {
+	p := toxiproxy.NewProxy(m.toxics, name, listen.String(), upstream)
+	if err := p.Start(); err != nil {
+		return nil, fmt.Errorf("start proxy: %w", err)
+	}
+	return p, nil
+}
+
+// Register writes the entry of a VM's instance.
+func (m *Mesh) Register(v *VM, state string) {
+	m.Store.Put("servers/"+v.Instance.ID, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":3,"state":%q,"cold_left_s":0,"sequence":1,"born":%d}`,
+		v.Instance.Service, m.address(v.Index, portProxy), v.DataCentre, state, 1767225600000))
+}
+
+// Launch starts the sidecar of a VM.
+func (m *Mesh) Launch(v *VM) error {
+	settings := fmt.Sprintf(`{"name":"vm%d","dataCentre":%q,"service":%q,"instance":%q,"callers":%q,"ready":%q,"fleet":%q,
+"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s"}`, v.Index, v.DataCentre,
+		v.Instance.Service, m.address(v.Index, portProxy), m.address(v.Index, portCallers), m.address(v.Index, portReady),
+		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), v.store.Listen, graceTime)
+	path := filepath.Join(m.Folder, fmt.Sprintf("vm%d.jsonc", v.Index))
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	log, err := os.OpenFile(filepath.Join(m.Folder, fmt.Sprintf("vm%d.log", v.Index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	defer log.Close()
+	v.process = exec.Command(m.Program, "--config", path)
+	v.process.Stdout, v.process.Stderr = log, log
+	if err := v.process.Start(); err != nil {
+		return fmt.Errorf("start sidecar: %w", err)
+	}
+	v.exited = make(chan struct{})
+	go func(p *exec.Cmd, exited chan struct{}) {
+		// How a sidecar ended shows in its log; faults end it in any way.
+		_ = p.Wait()
+		close(exited)
+	}(v.process, v.exited)
+	return nil
+}
+
+// Disturb records that a fault strikes the VM.
+func (v *VM) Disturb() { v.disturbed.Store(time.Now().UnixNano()) }
+
+// Signal sends a signal to the sidecar of a VM.
+func (v *VM) Signal(s syscall.Signal) error {
+	v.Disturb()
+	err := v.process.Process.Signal(s)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// awaitReady waits until all sidecars are ready and know all instances.
+func (m *Mesh) awaitReady(ctx context.Context) error {
+	for _, v := range m.VMs {
+		for !m.ready(ctx, v) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("wait for VM %d: %w", v.Index, ctx.Err())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) ready(ctx context.Context, v *VM) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%v/-/ready", m.address(v.Index, portReady)), nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Toxic adds a fault to a proxy and returns a function that removes it.
+func Toxic(p *toxiproxy.Proxy, kind, stream, attributes string) (func(), error) {
+	name := kind + stream
+	text := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":%s}`, name, kind, stream, attributes)
+	if _, err := p.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
+		return nil, fmt.Errorf("add toxic: %w", err)
+	}
+	return func() {
+		// An error means that the toxic is gone already.
+		_ = p.Toxics.RemoveToxic(context.Background(), name)
+	}, nil
+}
+
+// Stop ends all processes and stand-ins that the mesh started.
+func (m *Mesh) Stop() {
+	for _, v := range m.VMs {
+		if v.process != nil {
+			// An error means that the process has ended.
+			_ = v.Signal(syscall.SIGKILL)
+			<-v.exited
+		}
+		closeServer(v.server)
+		v.proxy.Stop()
+		v.store.Stop()
+	}
+	if m.storeServer != nil {
+		closeServer(m.storeServer)
+	}
+}
--- /dev/null
+++ b/standin/mesh/soak_test.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// program is the sidecar's binary.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		folder, err := os.MkdirTemp("", "cassiarack-mesh-")
+		if err != nil {
+			panic(err)
+		}
+		defer os.RemoveAll(folder)
+		program = filepath.Join(folder, "cassiarack-sidecar")
+		build := exec.Command("go", "build", "-race", "-o", program, "../../sidecar")
+		if out, err := build.CombinedOutput(); err != nil {
+			panic(string(out))
+		}
+		return m.Run()
+	}())
+}
+
+// play plays one seed and fails the test for each broken promise.
+func play(t *testing.T, seed uint64, network int, length time.Duration) {
+	t.Helper()
+	m := &Mesh{Program: program, Folder: t.TempDir(), Services: map[string]int{"alpha": 4, "beta": 3}, Network: network}
+	defer m.Stop()
+	if err := m.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	o, broken := m.Soak(t.Context(), seed, length, t.Logf)
+	t.Log(o.Statuses)
+	for _, b := range broken {
+		t.Error(b)
+	}
+	if o.Statuses["200"] == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// TestSoak plays two seeds for a few seconds each. It guards against answers of
+// other requests, unsafe requests that run twice, refusals of requests that ran,
+// answers later than the deadline, and sidecars that do not recover.
+func TestSoak(t *testing.T) {
+	for n, seed := range []uint64{1, 2} {
+		play(t, seed, 60+n, 8*time.Second)
+	}
+}
--- /dev/null
+++ b/standin/mesh/store.go
@@ -0,0 +1,193 @@
+package mesh
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mode is how a store or an instance behaves.
+type Mode string
+
+// Modes of a store.
+const (
+	Sound  Mode = "sound"
+	Busy   Mode = "busy"   // answers 503
+	Many   Mode = "many"   // answers 429
+	Reset  Mode = "reset"  // closes connections without an answer
+	Silent Mode = "silent" // does not answer
+	Slow   Mode = "slow"   // answers after slowTime
+)
+
+// slowTime is the delay of a slow store, longer than sidecars wait.
+const slowTime = 1500 * time.Millisecond
+
+// pageSize is small, so that ranges have several pages.
+const pageSize = 5
+
+// Store stands in for the platform's store.
+type Store struct {
+	mu       sync.Mutex
+	mode     Mode
+	revision uint64
+	items    map[string]storeItem
+	calls    int
+}
+
+type storeItem struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"create_rev"`
+	Lease    int    `json:"lease"`
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{mode: Sound, items: make(map[string]storeItem)}
+}
+
+// SetMode changes how the store behaves.
+func (s *Store) SetMode(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// Put writes a value.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it := storeItem{Key: key, Value: value, Revision: s.revision, Created: s.revision}
+	if old, ok := s.items[key]; ok {
+		it.Created = old.Created
+	}
+	s.items[key] = it
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	mode := s.mode
+	s.mu.Unlock()
+	switch mode {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Many:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case Reset:
+		abort(w)
+		return
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Slow:
+		select {
+		case <-time.After(slowTime):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if r.URL.Path != "/-/kv-range" {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	reply := s.page(r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after"))
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		// The reader has gone.
+		return
+	}
+}
+
+type pageReply struct {
+	Items     []storeItem `json:"items"`
+	Truncated bool        `json:"truncated"`
+	Revision  uint64      `json:"store_revision"`
+}
+
+func (s *Store) page(prefix, after string) pageReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := pageReply{Revision: s.revision}
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		if len(reply.Items) == pageSize {
+			reply.Truncated = true
+			break
+		}
+		reply.Items = append(reply.Items, s.items[k])
+	}
+	return reply
+}
+
+// abort resets the connection of a request.
+func abort(w http.ResponseWriter) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		panic("mesh: the server cannot hijack connections")
+	}
+	c, _, err := h.Hijack()
+	if err != nil {
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		// Without lingering the close is a reset; an error means it is closed.
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// route is a route of a configuration.
+type route struct {
+	name, prefix, kind, service string
+	timeout                     float64
+	attempts                    int
+}
+
+// config returns a configuration document.
+func config(version int, routes []route, services []string) []byte {
+	var rows, names []string
+	for _, r := range routes {
+		rows = append(rows, fmt.Sprintf(`[%q,"mesh.example",%q,%q,%g,0.8,1,%q,%d,null]`, r.name, r.prefix, r.kind,
+			r.timeout, r.service, r.attempts))
+	}
+	for _, s := range services {
+		names = append(names, fmt.Sprintf(`[%q,"/healthz",390]`, s))
+	}
+	return fmt.Appendf(nil, `{"version":"r%d","routes":{"columns":["name","host","path_prefix","kind","timeout_s",`+
+		`"target_latency_s","priority","service","attempts","weighted_split"],"rows":[%s]},`+
+		`"services":{"columns":["name","health_path","max_connections"],"rows":[%s]},`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}`,
+		version, strings.Join(rows, ","), strings.Join(names, ","))
+}
