Do not blame a sidecar for a client that left; add metrics of gate, repeats and state

Metrics: histogram of request durations, repeats, running and waiting requests, belief, age of the published state, dropped log lines.

--- a/sidecar/admin/admin.go
+++ b/sidecar/admin/admin.go
@@ -17,6 +17,7 @@
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/ingress"
+	"cassiarack.example/sidecar/journal"
 	"cassiarack.example/sidecar/names"
 )
 
@@ -31,6 +32,7 @@
 
 	ingress *ingress.Service
 	metrics *metrics.Service
+	journal *journal.Service
 }
 
 // Bind implements kernel.Service.
@@ -39,6 +41,9 @@
 	if s.ingress, err = kernel.Find[*ingress.Service](dir, names.Ingress); err != nil {
 		return err
 	}
+	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
+		return err
+	}
 	s.metrics, err = kernel.Find[*metrics.Service](dir, names.Metrics)
 	return err
 }
@@ -48,7 +53,7 @@
 	ready := mux.NewRouter()
 	ready.HandleFunc(platform.ReadyPath, s.ready).Methods(http.MethodGet)
 	pages := mux.NewRouter()
-	pages.Handle("/metrics", s.metrics.Handler()).Methods(http.MethodGet)
+	pages.HandleFunc("/metrics", s.page).Methods(http.MethodGet)
 	servers := []*http.Server{{Handler: ready, ReadHeaderTimeout: headerTimeout},
 		{Handler: pages, ReadHeaderTimeout: headerTimeout}}
 	exits := make(chan error, len(servers))
@@ -73,3 +78,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+// page serves the metrics.
+func (s *Service) page(w http.ResponseWriter, r *http.Request) {
+	s.metrics.Scope().Gauge("log_lines_dropped").Update(float64(s.journal.Dropped()))
+	s.metrics.Handler().ServeHTTP(w, r)
+}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -259,6 +259,9 @@
 	}
 	s.advance(now)
 	s.tell(now)
+	s.Scope.Gauge("gate_running").Update(float64(s.queue.Running()))
+	s.Scope.Gauge("gate_waiting").Update(float64(s.queue.Waiting()))
+	s.Scope.Gauge("instance_failing").Update(s.filter.Failing(now))
 }
 
 // tell sends a notice if the belief or the load changed so that others would
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -142,6 +142,9 @@
 
 // tick starts reads that are due.
 func (s *Service) tick(ctx context.Context, now time.Time) {
+	if age := now.Sub(s.roster.ReadAt()); !s.roster.ReadAt().IsZero() {
+		s.Scope.Gauge("published_state_age_seconds").Update(age.Seconds())
+	}
 	if !s.reading && !now.Before(s.schedule.Due(s.roster.ReadAt(), s.rank())) {
 		s.read(ctx, now)
 	}
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -67,6 +67,7 @@
 	journal     *journal.Service
 
 	commands *ring.Ring[func(now time.Time)]
+	times    tally.Histogram
 
 	// The fields below belong to the duty.
 	instances map[string]*instance
@@ -109,6 +110,8 @@
 	}
 	n.Handle(s.noticed)
 	s.commands = ring.New[func(time.Time)](commands)
+	// From 1 ms to 16 s, the longest deadlines of clients.
+	s.times = s.Scope.Histogram("request_duration", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15))
 	s.instances = make(map[string]*instance)
 	s.budgets = make(map[string]*retry.Window)
 	return nil
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -116,7 +116,9 @@
 	p.instance, p.failing, p.evidence = pl.ID, pl.failing, pl.evidence
 	reply, err := s.offer(ctx, r, pl, p)
 	now := time.Now()
-	s.tellDuty(func(now time.Time) { s.returned(now, pl.ID, reply.GetCondition(), err == nil) })
+	// A client that left says nothing about the sidecar that was asked.
+	reached := err == nil || errors.Is(ctx.Err(), context.Canceled)
+	s.tellDuty(func(now time.Time) { s.returned(now, pl.ID, reply.GetCondition(), reached) })
 	if err != nil {
 		return s.lost(ctx, now, r, p, pl, err)
 	}
@@ -172,7 +174,10 @@
 // lost reacts to an offer without a reply. The request may have run.
 func (s *Service) lost(ctx context.Context, now time.Time, r *message.Request, p *progress, pl placed, err error) bool {
 	p.excluded[pl.ID] = true
-	p.reason = "sidecar unreachable: " + err.Error()
+	p.reason = "no reply of the sidecar: " + err.Error()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		p.reason = "the client left"
+	}
 	if peers.NotConnected(err) {
 		return true
 	}
@@ -260,8 +265,15 @@
 func (s *Service) record(r *message.Request, p *progress, a *message.Answer) {
 	now := time.Now()
 	success := a.Status < http.StatusInternalServerError
-	s.Scope.Tagged(map[string]string{"outcome": outcomeName(a)}).Counter("requests").Inc(1)
-	s.Scope.Timer("request_time").Record(now.Sub(r.Received))
+	kind := "once"
+	if r.Route.Idempotent {
+		kind = "repeatable"
+	}
+	s.Scope.Tagged(map[string]string{"outcome": outcomeName(a), "kind": kind}).Counter("requests").Inc(1)
+	if p.sent+p.rejected > 1 {
+		s.Scope.Counter("repeats").Inc(int64(p.sent + p.rejected - 1))
+	}
+	s.times.RecordDuration(now.Sub(r.Received))
 	if !s.journal.AllowRequest(now, r.Attempt, success) {
 		return
 	}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -140,8 +140,8 @@
 				Log: j.Logger("relay")}},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Scope: scope, Log: j.Logger("ingress")}},
-		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics}, Service: &admin.Service{Ready: l.ready,
-			Metrics: l.metrics, Log: j.Logger("admin")}},
+		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
+			Ready: l.ready, Metrics: l.metrics, Log: j.Logger("admin")}},
 	}
 }
 
