Test the relay without a network, and bound refusals by instances as stated

Cause: TestOutcomes, written for outcomes of repeats, found that a request was offered to four instances that refused it where the constant says three. The bound is now the stated one. The relay reaches gates through an interface, so that tests need no connections.

--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -45,6 +45,35 @@
 	testReserve = 2.0
 )
 
+// Publication knows what the platform publishes.
+type Publication interface {
+	State() *publication.State
+}
+
+// Gates offers requests to the gates of instances.
+type Gates interface {
+	// Offer returns the reply of the gate on a VM. An error means that there was
+	// none; see peers.NotConnected.
+	Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest) (*wire.RunReply, error)
+}
+
+// network reaches the gate of this VM directly and those of others over
+// connections between sidecars.
+type network struct {
+	self  netip.Addr
+	port  uint16
+	own   *gate.Service
+	peers *peers.Service
+}
+
+// Offer implements Gates.
+func (n *network) Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest) (*wire.RunReply, error) {
+	if vm == n.self {
+		return n.own.Offer(ctx, r)
+	}
+	return wire.NewDRPCRelayClient(n.peers.Conn(ctx, netip.AddrPortFrom(vm, n.port))).Offer(ctx, r)
+}
+
 // Service places requests.
 type Service struct {
 	// DataCentre is where this VM stands.
@@ -61,9 +90,8 @@
 	Scope        tally.Scope
 	Log          *log.Logger
 
-	publication *publication.Service
-	peers       *peers.Service
-	gate        *gate.Service
+	publication Publication
+	gates       Gates
 	journal     *journal.Service
 
 	commands *ring.Ring[func(now time.Time)]
@@ -92,15 +120,17 @@
 // Bind implements kernel.Service.
 func (s *Service) Bind(dir *kernel.Directory) error {
 	var err error
-	if s.publication, err = kernel.Find[*publication.Service](dir, names.Publication); err != nil {
+	if s.publication, err = kernel.Find[Publication](dir, names.Publication); err != nil {
 		return err
 	}
-	if s.peers, err = kernel.Find[*peers.Service](dir, names.Peers); err != nil {
+	gates := &network{self: s.Self, port: s.Port}
+	if gates.peers, err = kernel.Find[*peers.Service](dir, names.Peers); err != nil {
 		return err
 	}
-	if s.gate, err = kernel.Find[*gate.Service](dir, names.Gate); err != nil {
+	if gates.own, err = kernel.Find[*gate.Service](dir, names.Gate); err != nil {
 		return err
 	}
+	s.gates = gates
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
--- /dev/null
+++ b/sidecar/relay/relay_test.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"cassiarack.example/lib/decision/retry"
+	"cassiarack.example/lib/decision/roster"
+	"cassiarack.example/lib/decision/routing"
+	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/wire"
+	"cassiarack.example/sidecar/gate"
+	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/message"
+	"cassiarack.example/sidecar/publication"
+)
+
+// fleet stands in for the gates of a service and for what is published.
+type fleet struct {
+	state *publication.State
+	// reply answers an offer; sent lists the instances that got one.
+	reply func(instance string) (*wire.RunReply, error)
+	sent  []string
+}
+
+func (f *fleet) State() *publication.State { return f.state }
+
+func (f *fleet) Offer(_ context.Context, _ netip.Addr, r *wire.RunRequest) (*wire.RunReply, error) {
+	f.sent = append(f.sent, r.GetInstance())
+	return f.reply(r.GetInstance())
+}
+
+func start(t *testing.T, reply func(instance string) (*wire.RunReply, error)) (*Service, *fleet) {
+	t.Helper()
+	f := &fleet{reply: reply, state: &publication.State{Instances: map[string]roster.Instance{},
+		Services: map[string][]roster.Instance{}, Table: routing.Compile(&routing.Configuration{})}}
+	for n, id := range []string{"a", "b", "c"} {
+		i := roster.Instance{ID: id, Service: "s", Slots: 3,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)}
+		f.state.Instances[id] = i
+		f.state.Services["s"] = append(f.state.Services["s"], i)
+	}
+	s := &Service{RepeatRatio: 0.2, RepeatSlack: 64, RepeatWindow: 10 * time.Second, Scope: tally.NoopScope,
+		Random: rand.New(rand.NewPCG(1, 1)), Log: log.New(io.Discard), publication: f, gates: f,
+		journal: journal.New(io.Discard, log.InfoLevel), commands: ring.New[func(time.Time)](commands),
+		instances: map[string]*instance{}, budgets: map[string]*retry.Window{},
+		times: tally.NoopScope.Histogram("x", tally.DefaultBuckets)}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, f
+}
+
+func request(idempotent bool) *message.Request {
+	now := time.Now()
+	return &message.Request{Attempt: "1", Method: "GET", Target: "/", Service: "s", Received: now,
+		Deadline: now.Add(time.Second), TargetTime: now.Add(time.Second),
+		Route: &routing.Route{Name: "r", Idempotent: idempotent, Attempts: 2}}
+}
+
+func reply(outcome wire.RunOutcome, status int32, reason string) *wire.RunReply {
+	return &wire.RunReply{Outcome: outcome, Status: status, Reason: reason}
+}
+
+// TestOutcomes guards against a second run of a request that must run once, more
+// instances than the route allows, and a refusal of a request that may have run.
+func TestOutcomes(t *testing.T) {
+	const (
+		answered = wire.RunOutcome_RUN_OUTCOME_ANSWERED
+		refused  = wire.RunOutcome_RUN_OUTCOME_REFUSED
+		unknown  = wire.RunOutcome_RUN_OUTCOME_UNKNOWN
+	)
+	cases := []struct {
+		name       string
+		idempotent bool
+		reply      *wire.RunReply
+		err        error
+		status     int
+		// offers is the number of offers, 0 if it is not fixed.
+		offers int
+	}{
+		{"answer", false, reply(answered, 200, ""), nil, 200, 1},
+		{"failure runs once", false, reply(answered, 500, ""), nil, 500, 1},
+		{"failure is repeated", true, reply(answered, 500, ""), nil, 500, 2},
+		{"lost answer runs once", false, reply(unknown, 0, "lost"), nil, http.StatusBadGateway, 1},
+		{"lost answer is repeated", true, reply(unknown, 0, "lost"), nil, http.StatusBadGateway, 2},
+		{"lost reply runs once", false, nil, io.ErrUnexpectedEOF, http.StatusBadGateway, 1},
+		{"lost reply is repeated", true, nil, io.ErrUnexpectedEOF, http.StatusBadGateway, 2},
+		{"gates are full", false, reply(refused, 0, "full"), nil, http.StatusServiceUnavailable, 0},
+		{"no time is left at the gate", false, reply(refused, 0, "expired"), nil, http.StatusServiceUnavailable, 1},
+		{"instances refuse", false, reply(refused, 503, gate.ReasonInstance), nil, http.StatusServiceUnavailable, 3},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s, f := start(t, func(string) (*wire.RunReply, error) { return tc.reply, tc.err })
+			a := s.Serve(t.Context(), request(tc.idempotent))
+			is.Equal(a.Status, tc.status)
+			if tc.offers > 0 {
+				is.Equal(len(f.sent), tc.offers)
+			}
+			if tc.status == http.StatusServiceUnavailable {
+				is.True(a.Header.Get("Retry-After") != "") // a refusal says when to return
+				is.True(strings.HasPrefix(string(a.Body), "not run: "))
+			}
+		})
+	}
+}
+
+// TestSecondInstance guards against a repeat at the instance that failed, and
+// against a belief that does not follow from the reply.
+func TestSecondInstance(t *testing.T) {
+	is := is.New(t)
+	first := ""
+	s, f := start(t, func(id string) (*wire.RunReply, error) {
+		if first == "" {
+			first = id
+		}
+		if id != first {
+			return reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, 200, ""), nil
+		}
+		r := reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, 500, "")
+		r.Condition = &wire.Condition{Instance: id, FailingPermille: 900, Slots: 3, Sequence: 1}
+		return r, nil
+	})
+	is.Equal(s.Serve(t.Context(), request(true)).Status, 200)
+	is.Equal(len(f.sent), 2)
+	for range 10 {
+		is.Equal(s.Serve(t.Context(), request(false)).Status, 200)
+	}
+	for _, id := range f.sent[1:] {
+		is.True(id != first) // the others are better
+	}
+}
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"cassiarack.example/lib/decision/admission"
@@ -164,11 +163,7 @@
 			q.Headers = append(q.Headers, &wire.HeaderField{Name: name, Value: v})
 		}
 	}
-	if pl.Address.Addr() == s.Self {
-		return s.gate.Offer(ctx, q)
-	}
-	conn := s.peers.Conn(ctx, netip.AddrPortFrom(pl.Address.Addr(), s.Port))
-	return wire.NewDRPCRelayClient(conn).Offer(ctx, q)
+	return s.gates.Offer(ctx, pl.Address.Addr(), q)
 }
 
 // lost reacts to an offer without a reply. The request may have run.
@@ -205,7 +200,7 @@
 			return reply.GetReason() != string(admission.ReasonExpired)
 		}
 		p.rejected++
-		return p.rejected <= maxRejected && s.allowed(ctx, r)
+		return p.rejected < maxRejected && s.allowed(ctx, r)
 	default:
 		p.sent++
 		p.mayRun = true
