Take a refusal that an instance does not state as unknown

Cause: found while reading the code. An instance that answered 408, 429 or 503 without the header that states that it did not run the request was passed on as it was; clients take these statuses as a promise. The request now counts as possibly run: 502, or repeated if it may be. TestOutcome fails without the change (those three rows read answered).

--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -147,6 +147,11 @@
 	case platform.NotExecuted(answer.Status, answer.Header):
 		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: ReasonInstance,
 			Status: int32(answer.Status)}
+	case platform.Promises(answer.Status):
+		// Passed on, the status would say that the request did not run, which the
+		// instance did not state.
+		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_UNKNOWN, Reason: "refusal without statement",
+			Status: int32(answer.Status)}
 	}
 	reply := &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_ANSWERED, Status: int32(answer.Status),
 		Body: answer.Body}
--- /dev/null
+++ b/sidecar/gate/run_test.go
@@ -0,0 +1,43 @@
+package gate
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"cassiarack.example/lib/golden"
+	"cassiarack.example/sidecar/backend"
+	"cassiarack.example/sidecar/message"
+)
+
+// TestOutcome guards against a refusal that is passed on as a promise although
+// the instance did not state that it did not run the request.
+func TestOutcome(t *testing.T) {
+	stated := http.Header{"X-Cassiarack-Not-Executed": {"1"}}
+	cases := []struct {
+		name   string
+		answer *message.Answer
+		err    error
+	}{
+		{"success", &message.Answer{Status: 200}, nil},
+		{"failure", &message.Answer{Status: 500}, nil},
+		{"deadline", &message.Answer{Status: 504}, nil},
+		{"client error", &message.Answer{Status: 404}, nil},
+		{"stated refusal", &message.Answer{Status: 503, Header: stated}, nil},
+		{"stated failure", &message.Answer{Status: 400, Header: stated}, nil},
+		{"other instance", &message.Answer{Status: 421}, nil},
+		{"refusal without statement", &message.Answer{Status: 503}, nil},
+		{"too many without statement", &message.Answer{Status: 429}, nil},
+		{"timeout without statement", &message.Answer{Status: 408}, nil},
+		{"not connected", nil, &backend.Error{Op: "connect", Kind: backend.KindConnect, Err: errors.New("refused")}},
+		{"lost", nil, &backend.Error{Op: "read", Kind: backend.KindLost, Err: errors.New("end of file")}},
+	}
+	var b strings.Builder
+	for _, tc := range cases {
+		r := outcome(tc.answer, tc.err)
+		fmt.Fprintf(&b, "%s: %s, status %d, reason %q\n", tc.name, outcomeNames[r.GetOutcome()], r.GetStatus(), r.GetReason())
+	}
+	golden.Check(t, "outcome", b.String())
+}
