--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -17,8 +17,8 @@
 	// Run times vary by about their mean, so half of it still often suffices.
 	minimumShare = 0.4
 	// safetyShare of the expected run time must be left before the target for a
-	// request to count as on time. Above one, since run times vary: a queue that
-	// starts requests with no time to spare finishes about half of them late.
+	// request to count as on time. A queue that starts requests with less time to
+	// spare finishes most of them late.
 	safetyShare = 1.0
 )
 
--- a/lib/decision/placement/placement.go
+++ b/lib/decision/placement/placement.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// distanceCost is what an answer from another data centre is worth less. An
-	// exchange of 1 to 2 KB between data centres costs about 4% of a request.
+	// distanceCost is what an answer from another data centre is worth less: the
+	// price of about 4 KB between data centres, two exchanges of usual size.
 	distanceCost = 0.12
 	// waitCost is what the wait for a full slot time is worth less.
 	waitCost = 0.25
