--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -89,8 +89,8 @@
 	}
 	m.storeServer = &http.Server{Handler: m.Store}
 	serve(m.storeServer, listener)
-	m.routes = []route{{"read", "/read/", "safe", "alpha", 2, 2}, {"accept", "/accept/", "unsafe", "alpha", 2, 2},
-		{"other", "/other/", "safe", "beta", 2, 2}}
+	m.routes = []route{{"read", "/read/", "safe", "alpha", 2 * time.Second, 2}, {"accept", "/accept/", "unsafe", "alpha", 2 * time.Second, 2},
+		{"other", "/other/", "safe", "beta", 2 * time.Second, 2}}
 	m.Configure(nil)
 	for service, n := range m.Services {
 		for range n {
--- a/standin/mesh/soak.go
+++ b/standin/mesh/soak.go
@@ -187,7 +187,7 @@
 func (s *soak) reconfigure(*VM, time.Duration) {
 	s.log("new configuration")
 	n := len(s.routes)
-	s.Configure([]route{{fmt.Sprintf("r%d", n), fmt.Sprintf("/added%d/", n), "safe", "beta", 2, 2}})
+	s.Configure([]route{{fmt.Sprintf("r%d", n), fmt.Sprintf("/added%d/", n), "safe", "beta", 2 * time.Second, 2}})
 }
 
 // calm checks draining and a new configuration without other faults.
--- a/standin/mesh/store.go
+++ b/standin/mesh/store.go
@@ -171,7 +171,7 @@
 // route is a route of a configuration.
 type route struct {
 	name, prefix, kind, service string
-	timeout                     float64
+	timeout                     time.Duration
 	attempts                    int
 }
 
@@ -180,7 +180,7 @@
 	var rows, names []string
 	for _, r := range routes {
 		rows = append(rows, fmt.Sprintf(`[%q,"mesh.example",%q,%q,%g,0.8,1,%q,%d,null]`, r.name, r.prefix, r.kind,
-			r.timeout, r.service, r.attempts))
+			r.timeout.Seconds(), r.service, r.attempts))
 	}
 	for _, s := range services {
 		names = append(names, fmt.Sprintf(`[%q,"/healthz",390]`, s))
