Keep the connection of a caller usable after an early answer

Cause of the refusals in TestManyStops: when an answer came before the duty that reads the body had seen its end, a read deadline interrupted it. If net/http had received the last byte by then, it was already reading for the next request; the deadline failed that read and canceled all later requests of the connection, or made them malformed. That entry refused them within milliseconds as overload, no-instance or canceled, while the others served.

Ruled out: a full ring of the router (24 callers cannot fill 4,096 places), a leak of the count of requests on their way (that refuses as full, not as overload), and a stop that ends the router before the front (the kernel stops dependents first).

Change: the duty is interrupted only while a read is in progress.

--- a/lib/service/front/upload.go
+++ b/lib/service/front/upload.go
@@ -5,7 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"cassiarack.example/lib/request"
@@ -21,8 +21,12 @@
 	pieces  *request.Pieces
 	// done is closed when the duty ended; it is nil before open.
 	done chan struct{}
-	// ended is set when the body needs no more reads.
-	ended atomic.Bool
+
+	mu sync.Mutex
+	// reading is set while a read is in progress.
+	reading bool
+	// stopped is set when no further read may begin.
+	stopped bool
 }
 
 func newUpload(w http.ResponseWriter, r *http.Request) *upload {
@@ -53,9 +57,9 @@
 func (u *upload) run() {
 	defer close(u.done)
 	for {
-		p := u.read()
-		if p.End || p.Err != nil {
-			u.ended.Store(true)
+		p, ok := u.read()
+		if !ok {
+			return
 		}
 		if err := u.pieces.Put(u.ctx, p); err != nil || p.End || p.Err != nil {
 			return
@@ -63,37 +67,54 @@
 	}
 }
 
-// read returns the next piece of the body.
-func (u *upload) read() request.Piece {
+// read returns the next piece of the body. It reports false after stop.
+func (u *upload) read() (request.Piece, bool) {
+	if !u.setReading(true) {
+		return request.Piece{}, false
+	}
 	buf := make([]byte, request.PieceSize)
 	n, err := u.r.Body.Read(buf)
+	u.setReading(false)
 	switch {
 	case n > 0:
 		// The error, if any, is returned again by the next read.
-		return request.Piece{Data: buf[:n]}
+		return request.Piece{Data: buf[:n]}, true
 	case errors.Is(err, io.EOF):
-		return request.Piece{End: true, Trailers: fields(u.r.Trailer)}
+		return request.Piece{End: true, Trailers: fields(u.r.Trailer)}, true
 	default:
-		return request.Piece{Err: err}
+		return request.Piece{Err: err}, true
 	}
 }
 
+// setReading notes the start or the end of a read. It reports false if no read
+// may begin any more.
+func (u *upload) setReading(reading bool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if reading && u.stopped {
+		return false
+	}
+	u.reading = reading
+	return true
+}
+
 // stop ends the duty. A read that waits for a slow caller is interrupted, as
-// the body must not be read after the handler returned.
+// the body must not be read after the handler returned. Without a read in
+// progress there must be no interruption: with the last bytes of the body
+// net/http begins to read for the next request, and a deadline would fail that
+// read and cancel all later requests of the connection.
 func (u *upload) stop() {
 	u.cancel()
 	if u.done == nil {
 		return
 	}
-	if u.ended.Load() {
-		// At the end of the body net/http begins to read for the next request. A
-		// deadline would fail that read and cancel all later requests of the
-		// connection.
-		<-u.done
-		return
+	u.mu.Lock()
+	u.stopped = true
+	if u.reading {
+		// A connection that does not support deadlines ends the read when it closes.
+		_ = u.control.SetReadDeadline(time.Now())
 	}
-	// A connection that does not support deadlines ends the read when it closes.
-	_ = u.control.SetReadDeadline(time.Now())
+	u.mu.Unlock()
 	<-u.done
 }
 
