Record a span for each hop of a sidecar, and take over changed settings

Cause: sidecars passed the caller's trace header on and recorded nothing, and a reload only logged that settings had changed.

Change: the exporter of the node moves to lib/tracing and serves both programs. Log level, memory limit and budget for repeats are taken over on SIGHUP or a silent change; other changed keys are named in a line (TestReload). A file that stays faulty is logged once.

--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -12,13 +12,13 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"cassiarack.example/lib/decision/handover"
 	"cassiarack.example/lib/decision/slot"
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/ring"
+	"cassiarack.example/lib/tracing"
 	"cassiarack.example/lib/wire"
 )
 
@@ -60,9 +60,7 @@
 }
 
 func startSpan(ctx context.Context, r *wire.Reserve) (context.Context, trace.Span) {
-	carrier := propagation.MapCarrier{"traceparent": r.GetTraceParent()}
-	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
-	return otel.Tracer(tracerName).Start(ctx, "gate",
+	return otel.Tracer(tracerName).Start(tracing.Continue(ctx, r.GetTraceParent()), "gate",
 		trace.WithAttributes(attribute.String("instance", r.GetInstance())))
 }
 
--- a/lib/service/handoff/attempt.go
+++ b/lib/service/handoff/attempt.go
@@ -9,7 +9,6 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"cassiarack.example/lib/decision/config"
@@ -18,6 +17,7 @@
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service/router"
+	"cassiarack.example/lib/tracing"
 	"cassiarack.example/lib/wire"
 )
 
@@ -118,8 +118,6 @@
 		return a.unreachable(err)
 	}
 	a.stream = stream
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(a.ctx, carrier)
 	reserve := &wire.Reserve{
 		Instance:     a.inst.Name,
 		Attempt:      a.id[:],
@@ -130,7 +128,7 @@
 		Expected:     int64(a.expected),
 		Idempotent:   a.route.Idempotent,
 		CommitNow:    a.route.Idempotent,
-		TraceParent:  carrier["traceparent"],
+		TraceParent:  tracing.Parent(a.ctx),
 	}
 	if a.route.Idempotent {
 		reserve.Head = wire.ToHead(a.req.Head)
--- a/node/serve.go
+++ b/node/serve.go
@@ -37,6 +37,7 @@
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/service/reader"
 	"cassiarack.example/lib/service/router"
+	"cassiarack.example/lib/tracing"
 )
 
 // listeners are the sockets of a node.
@@ -87,20 +88,19 @@
 	if err != nil {
 		return fmt.Errorf("flag --log-level: %w", err)
 	}
-	stopTracing, err := startTracing(ctx, s)
+	n := &node{settings: s, incarnation: uint64(time.Now().UnixNano()), level: level, read: o.settings}
+	exporter := &tracing.Exporter{Endpoint: s.TraceEndpoint, Program: "cassiarack-node", VM: s.Name, Log: n.log("tracing")}
+	stopTracing, err := exporter.Start(ctx)
 	if err != nil {
 		return err
 	}
 	defer stopTracing()
-	l, err := listen(s)
-	if err != nil {
+	if n.listeners, err = listen(s); err != nil {
 		return err
 	}
-	n := &node{settings: s, listeners: l, incarnation: uint64(time.Now().UnixNano()), level: level,
-		read: o.settings}
 	k := &kernel.Kernel{Registrations: n.registrations(), Log: n.log("kernel"), DrainTimeout: s.DrainTimeout}
-	n.log("node").Info("Started.", "vm", s.Name, "callers", l.callers.Addr(), "fleet", l.fleet.Addr(),
-		"admin", l.admin.Addr())
+	n.log("node").Info("Started.", "vm", s.Name, "callers", n.listeners.callers.Addr(), "fleet",
+		n.listeners.fleet.Addr(), "admin", n.listeners.admin.Addr())
 	err = k.Run(ctx)
 	n.log("node").Info("Stopped.", "vm", s.Name)
 	return err
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -36,6 +36,9 @@
 	idleMargin = 2 * time.Second
 	// maxForeign bounds the late answers to other requests that are skipped.
 	maxForeign = 3
+	// sendGrace is the time for the goroutine that sent a request to say so after
+	// the answer is there. Without it a fast answer costs the connection.
+	sendGrace  = 2 * time.Millisecond
 	bufferSize = 4 << 10
 )
 
@@ -235,15 +238,21 @@
 		}
 		return nil, false, err
 	}
+	return answer, reusable && isSent(sent), nil
+}
+
+// isSent reports whether a request was sent completely. An instance may answer
+// before it has read a long body; what it reads later on this connection must
+// not be another request.
+func isSent(sent <-chan error) bool {
+	t := time.NewTimer(sendGrace)
+	defer t.Stop()
 	select {
-	case e := <-sent:
-		reusable = reusable && e == nil
-	default:
-		// The instance answered before it read the body. What it reads later on
-		// this connection must not be another request.
-		reusable = false
+	case err := <-sent:
+		return err == nil
+	case <-t.C:
+		return false
 	}
-	return answer, reusable, nil
 }
 
 func (cn *conn) send(r *Request) error {
@@ -274,11 +283,12 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if id := platform.Attempt(resp.Header); id != "" && id != r.Attempt {
+		id := platform.Attempt(resp.Header)
+		if id != "" && id != r.Attempt {
 			continue
 		}
-		if resp.StatusCode/100 == 2 && !platform.Signed(resp.Header) {
-			return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("success without signature")}
+		if resp.StatusCode/100 == 2 && (id != r.Attempt || !platform.Signed(resp.Header)) {
+			return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: errUnidentified}
 		}
 		if limit, ok := platform.IdleTimeout(resp.Header); ok {
 			cn.limit = min(maxIdle, max(limit-idleMargin, 0))
@@ -291,6 +301,9 @@
 	return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("answers to other requests")}
 }
 
+// errUnidentified means that a success may belong to another request.
+var errUnidentified = errors.New("success without signature or identifier")
+
 func (cn *conn) read(r *Request) (*http.Response, []byte, error) {
 	for {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -6,13 +6,20 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"cassiarack.example/lib/decision/admission"
+	"cassiarack.example/lib/tracing"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/backend"
 	"cassiarack.example/sidecar/message"
 )
 
+const tracerName = "cassiarack/gate"
+
 const (
 	// nestedWindow is the time before an instance's failure in which a failed
 	// call of its own explains it.
@@ -34,6 +41,19 @@
 
 // Offer implements the call of other sidecars.
 func (s *Service) Offer(ctx context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
+	ctx, span := otel.Tracer(tracerName).Start(tracing.Continue(ctx, r.GetTraceParent()), "gate",
+		trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	reply, err := s.take(ctx, r)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("request", r.GetAttempt()), attribute.String("instance", r.GetInstance()),
+			attribute.String("outcome", OutcomeName(reply.GetOutcome())), attribute.String("reason", reply.GetReason()))
+	}
+	return reply, err
+}
+
+// take decides on a request and runs it if it is admitted.
+func (s *Service) take(ctx context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
 	j := &job{request: r, admit: make(chan admission.Reason, 1)}
 	received := time.Now()
 	if err := s.commands.Offer(func(now time.Time) { s.offer(now, j) }); err != nil {
@@ -104,7 +124,7 @@
 		header.Add(f.GetName(), f.GetValue())
 	}
 	platform.AddressRequest(header, r.GetInstance(), left)
-	answer, err := s.client.Do(ctx, &backend.Request{Method: r.GetMethod(), Target: r.GetTarget(), Host: r.GetHost(),
+	answer, err := s.run(ctx, &backend.Request{Method: r.GetMethod(), Target: r.GetTarget(), Host: r.GetHost(),
 		Attempt: r.GetAttempt(), Header: header, Body: r.GetBody(), Idempotent: r.GetIdempotent()})
 	ended := time.Now()
 	reply := outcome(answer, err)
@@ -123,14 +143,33 @@
 	success := reply.GetOutcome() == wire.RunOutcome_RUN_OUTCOME_ANSWERED && reply.GetStatus() < http.StatusInternalServerError
 	if s.journal.AllowRequest(ended, r.GetAttempt(), success) {
 		s.Log.Info("A request ended at the instance.", "request", r.GetAttempt(), "instance", r.GetInstance(),
-			"outcome", outcomeNames[reply.GetOutcome()], "status", reply.GetStatus(), "reason", reply.GetReason(),
+			"outcome", OutcomeName(reply.GetOutcome()), "status", reply.GetStatus(), "reason", reply.GetReason(),
 			"failing", float64(reply.GetCondition().GetFailingPermille())/1000, "weight", e.weight, "test", j.test,
 			"waited", started.Sub(received), "ran", ended.Sub(started))
 	}
 	return reply, nil
 }
 
-// outcomeNames are the outcomes in log lines.
+// run sends a request to the instance, in a span that its header names.
+func (s *Service) run(ctx context.Context, r *backend.Request) (*message.Answer, error) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "run", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	if span.IsRecording() {
+		r.Header.Set(tracing.Header, tracing.Parent(ctx))
+	}
+	answer, err := s.client.Do(ctx, r)
+	if span.IsRecording() {
+		if answer != nil {
+			span.SetAttributes(attribute.Int("status", answer.Status))
+		}
+		span.RecordError(err)
+	}
+	return answer, err
+}
+
+// OutcomeName returns the outcome as log lines and spans name it.
+func OutcomeName(o wire.RunOutcome) string { return outcomeNames[o] }
+
 var outcomeNames = map[wire.RunOutcome]string{
 	wire.RunOutcome_RUN_OUTCOME_ANSWERED: "answered",
 	wire.RunOutcome_RUN_OUTCOME_REFUSED:  "refused",
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -6,6 +6,11 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"cassiarack.example/lib/tracing"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/message"
 )
@@ -13,6 +18,20 @@
 // handle returns the answer to one request, or nil if the client left.
 func (s *Service) handle(ctx context.Context, head *http.Request, body []byte, received time.Time) *message.Answer {
 	attempt := platform.Attempt(head.Header)
+	ctx, span := otel.Tracer(tracerName).Start(tracing.Continue(ctx, head.Header.Get(tracing.Header)), "request",
+		trace.WithTimestamp(received), trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	a := s.answer(ctx, attempt, head, body, received)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("request", attempt), attribute.String("host", head.Host),
+			attribute.Int("status", a.Status), attribute.Bool("own", a.Own))
+	}
+	return a
+}
+
+// answer finds the route of a request and returns the answer of the relay.
+func (s *Service) answer(ctx context.Context, attempt string, head *http.Request, body []byte,
+	received time.Time) *message.Answer {
 	table := s.publication.State().Table
 	if table == nil {
 		if s.journal.AllowRequest(received, attempt, false) {
@@ -51,7 +70,6 @@
 		Header: platform.RequestHeader(head.Header, s.CallerService), Body: body,
 		Route: route, ConfigVersion: table.Configuration.Version, Service: s.service(table, route),
 		Received: received, Deadline: deadline, TargetTime: received.Add(route.TargetLatency),
-		TraceParent: head.Header.Get("Traceparent"),
 	})
 	if a.Status >= http.StatusInternalServerError {
 		s.gate.NestedFailed(time.Now())
@@ -59,6 +77,8 @@
 	return a
 }
 
+const tracerName = "cassiarack/ingress"
+
 // retryAfterStart is when a client may return to a sidecar that has just
 // started; reading the configuration takes less.
 const retryAfterStart = 200 * time.Millisecond
--- a/sidecar/journal/journal.go
+++ b/sidecar/journal/journal.go
@@ -36,13 +36,14 @@
 type Service struct {
 	out   io.Writer
 	lines *ring.Ring[[]byte]
-	level log.Level
 
 	dropped atomic.Uint64
 
-	mu     sync.Mutex
-	tokens float64
-	last   time.Time
+	mu      sync.Mutex
+	tokens  float64
+	last    time.Time
+	level   log.Level
+	loggers []*log.Logger
 }
 
 // New returns a service that writes to out.
@@ -53,8 +54,22 @@
 // Logger returns the logger of a part. Its lines are logfmt with the part as
 // prefix.
 func (s *Service) Logger(part string) *log.Logger {
-	return log.NewWithOptions(s, log.Options{Prefix: part, Level: s.level, ReportTimestamp: true,
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := log.NewWithOptions(s, log.Options{Prefix: part, Level: s.level, ReportTimestamp: true,
 		TimeFormat: "2006-01-02T15:04:05.000000Z07:00", Formatter: log.LogfmtFormatter})
+	s.loggers = append(s.loggers, l)
+	return l
+}
+
+// SetLevel changes the level of all loggers.
+func (s *Service) SetLevel(level log.Level) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.level = level
+	for _, l := range s.loggers {
+		l.SetLevel(level)
+	}
 }
 
 // Write implements io.Writer for the loggers. It never blocks.
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -33,8 +33,6 @@
 	Deadline time.Time
 	// Target latency ends at TargetTime.
 	TargetTime time.Time
-	// TraceParent identifies the span of the caller's hop.
-	TraceParent string
 }
 
 // Answer is a complete answer to a client.
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -273,12 +273,18 @@
 func (s *Service) budget(service string) *retry.Window {
 	b := s.budgets[service]
 	if b == nil {
-		b = &retry.Window{Length: s.RepeatWindow, Ratio: s.RepeatRatio * repeatShare}
+		b = &retry.Window{}
 		s.budgets[service] = b
 	}
+	b.Length, b.Ratio = s.RepeatWindow, s.RepeatRatio*repeatShare
 	return b
 }
 
+// SetRepeats changes the budget of all sidecars while the service runs.
+func (s *Service) SetRepeats(ratio, slack float64, window time.Duration) {
+	s.tellDuty(func(time.Time) { s.RepeatRatio, s.RepeatSlack, s.RepeatWindow = ratio, slack, window })
+}
+
 // slack is this sidecar's part of the constant share of the budget.
 func (s *Service) slack() float64 {
 	nodes := len(s.publication.State().Peers) + 1
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -7,14 +7,21 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/tracing"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/message"
 )
 
+const tracerName = "cassiarack/relay"
+
 const (
 	// maxOffers bounds the gates that a request is offered to before it is offered
 	// to the best one on any terms.
@@ -113,7 +120,7 @@
 	}
 	p.offers++
 	p.instance, p.failing, p.evidence = pl.ID, pl.failing, pl.evidence
-	reply, err := s.offer(ctx, r, pl, p)
+	reply, err := s.traced(ctx, r, pl, p)
 	now := time.Now()
 	// A client that left says nothing about the sidecar that was asked.
 	reached := err == nil || errors.Is(ctx.Err(), context.Canceled)
@@ -142,6 +149,19 @@
 	}
 }
 
+// traced offers the request in a span of its own.
+func (s *Service) traced(ctx context.Context, r *message.Request, pl placed, p *progress) (*wire.RunReply, error) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "offer", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	reply, err := s.offer(ctx, r, pl, p)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("instance", pl.ID), attribute.Float64("failing", pl.failing),
+			attribute.String("outcome", gate.OutcomeName(reply.GetOutcome())), attribute.String("reason", reply.GetReason()))
+		span.RecordError(err)
+	}
+	return reply, err
+}
+
 // offer sends the request to the gate of an instance.
 func (s *Service) offer(ctx context.Context, r *message.Request, pl placed, p *progress) (*wire.RunReply, error) {
 	now := time.Now()
@@ -157,7 +177,7 @@
 	q := &wire.RunRequest{Instance: pl.ID, Attempt: r.Attempt, Method: r.Method, Target: r.Target, Host: r.Host,
 		Body: r.Body, Remaining: int64(r.Deadline.Sub(now)), RemainingTarget: int64(r.TargetTime.Sub(now)),
 		Route: r.Route.Name, Priority: int32(r.Route.Priority), Idempotent: r.Route.Idempotent,
-		Patience: int64(patience), Acceptance: acceptance, TraceParent: r.TraceParent}
+		Patience: int64(patience), Acceptance: acceptance, TraceParent: tracing.Parent(ctx)}
 	for name, values := range r.Header {
 		for _, v := range values {
 			q.Headers = append(q.Headers, &wire.HeaderField{Name: name, Value: v})
--- /dev/null
+++ b/sidecar/reload_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/charmbracelet/log"
+
+	"cassiarack.example/lib/golden"
+	"cassiarack.example/sidecar/settings"
+)
+
+// TestReload guards against changed settings that are only logged, faulty ones
+// that are applied or end the process, and changes of addresses that are passed
+// over in silence.
+func TestReload(t *testing.T) {
+	started := &settings.Settings{Name: "a", RepeatSlack: 10}
+	var out bytes.Buffer
+	var next *settings.Settings
+	var fault error
+	r := &reloader{Started: started, last: started, Log: log.NewWithOptions(&out, log.Options{Formatter: log.LogfmtFormatter}),
+		Read: func() (*settings.Settings, error) { return next, fault },
+		Apply: func(s *settings.Settings, level log.Level) {
+			fmt.Fprintf(&out, "applied: slack %g, level %s\n", s.RepeatSlack, level)
+		}}
+	step := func(name string, s settings.Settings, err error, signalled bool) {
+		out.WriteString("-- " + name + "\n")
+		next, fault = &s, err
+		r.reload(signalled)
+	}
+	step("unchanged", *started, nil, false)
+	step("unchanged, signal", *started, nil, true)
+	step("faulty", settings.Settings{}, errors.New("settings: line 3"), false)
+	step("still faulty", settings.Settings{}, errors.New("settings: line 3"), false)
+	step("unknown level", settings.Settings{Name: "a", LogLevel: "loud"}, nil, false)
+	step("budget and level", settings.Settings{Name: "a", RepeatSlack: 20, LogLevel: "debug"}, nil, false)
+	step("address", settings.Settings{Name: "b", RepeatSlack: 20, LogLevel: "debug"}, nil, true)
+	golden.Check(t, "reload", out.String())
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -18,6 +18,7 @@
 	"cassiarack.example/lib/link"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/lib/service/peers"
+	"cassiarack.example/lib/tracing"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/admin"
 	"cassiarack.example/sidecar/gate"
@@ -40,9 +41,9 @@
 	// milliseconds away. A lost packet is sent again after a second, later than
 	// another instance can be tried.
 	nodeDialTimeout = 250 * time.Millisecond
-	// storeConnections bounds the connections to the store: one for the watch of
-	// the configuration and one for reads.
-	storeConnections = 4
+	// storeConnections bounds the idle connections to the store. Reads follow each
+	// other; a second one is needed when an answer is lost on the first.
+	storeConnections = 2
 	// storeIdle closes connections to the store that are not used.
 	storeIdle = 30 * time.Second
 )
@@ -79,17 +80,28 @@
 	if err != nil {
 		return err
 	}
-	if s.MemoryMegabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes) * (1 << 20)))
-	}
+	setMemoryLimit(s)
 	l, err := listen(ctx, s)
 	if err != nil {
 		return err
 	}
 	j := journal.New(os.Stdout, level)
 	own := j.Logger("sidecar")
-	go watchSettings(ctx, read, own)
-	k := &kernel.Kernel{Registrations: registrations(s, l, j), Log: j.Logger("kernel"),
+	exporter := &tracing.Exporter{Endpoint: s.TraceEndpoint, Program: "cassiarack-sidecar", VM: s.Name,
+		Log: j.Logger("tracing")}
+	stopTracing, err := exporter.Start(ctx)
+	if err != nil {
+		return err
+	}
+	defer stopTracing()
+	r := newRelay(s, j)
+	re := &reloader{Started: s, Read: read, Log: own, Apply: func(now *settings.Settings, level log.Level) {
+		setMemoryLimit(now)
+		j.SetLevel(level)
+		r.SetRepeats(now.RepeatRatio, now.RepeatSlack, now.RepeatWindow)
+	}}
+	go re.Run(ctx)
+	k := &kernel.Kernel{Registrations: registrations(s, l, j, r), Log: j.Logger("kernel"),
 		DrainTimeout: s.StopTimeout - stopMargin}
 	own.Info("Started.", "vm", s.Name, "service", s.Service, "callers", s.Callers, "fleet", s.Fleet,
 		"version", version)
@@ -97,6 +109,19 @@
 	return k.Run(ctx)
 }
 
+func setMemoryLimit(s *settings.Settings) {
+	if s.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes) * (1 << 20)))
+	}
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func newRelay(s *settings.Settings, j *journal.Service) *relay.Service {
+	return &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: s.Fleet.Port(), RepeatRatio: s.RepeatRatio,
+		RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Log: j.Logger("relay")}
+}
+
 func logLevel(text string) (log.Level, error) {
 	if text == "" {
 		return log.InfoLevel, nil
@@ -109,11 +134,11 @@
 }
 
 // registrations lists the services of a sidecar.
-func registrations(s *settings.Settings, l *listeners, j *journal.Service) []kernel.Registration {
+func registrations(s *settings.Settings, l *listeners, j *journal.Service, r *relay.Service) []kernel.Registration {
 	m := metrics.New(s.Name, s.DataCentre)
 	scope := m.Scope()
 	port := s.Fleet.Port()
-	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	r.Scope = scope
 	store := &platform.Store{Address: s.Store, HTTP: storeClient(), Called: func(call string, took time.Duration, err error) {
 		result := "ok"
 		if err != nil {
@@ -135,9 +160,7 @@
 		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
 			Instance: s.Instance, Scope: scope, Log: j.Logger("gate")}},
 		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Journal},
-			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
-				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
-				Log: j.Logger("relay")}},
+			Service: r},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Scope: scope, Log: j.Logger("ingress")}},
 		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -38,6 +38,9 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow time.Duration
+	// TraceEndpoint is the URL that receives spans as OTLP over HTTP; empty means
+	// none.
+	TraceEndpoint string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -72,6 +75,8 @@
 		RepeatWindow: o.Duration("repeatWindow", defaultRepeatWindow, time.Second, maxTime),
 		LogLevel:     o.String("logLevel"),
 
+		TraceEndpoint: o.String("traceEndpoint"),
+
 		MemoryMegabytes: o.Int("memoryMegabytes", 0, 0, maxMegabytes),
 	}
 	for _, k := range []string{"name", "dataCentre", "service", "instance", "callers", "ready", "fleet", "metrics", "store"} {
@@ -80,3 +85,30 @@
 	o.Close()
 	return s, d.Err()
 }
+
+// Fixed returns the keys in which a and b differ and that a process takes only
+// at its start, in the order of the settings.
+func Fixed(a, b *Settings) []string {
+	var keys []string
+	for _, k := range []struct {
+		name    string
+		differs bool
+	}{
+		{"name", a.Name != b.Name},
+		{"dataCentre", a.DataCentre != b.DataCentre},
+		{"service", a.Service != b.Service},
+		{"instance", a.Instance != b.Instance},
+		{"callers", a.Callers != b.Callers},
+		{"ready", a.Ready != b.Ready},
+		{"fleet", a.Fleet != b.Fleet},
+		{"metrics", a.Metrics != b.Metrics},
+		{"store", a.Store != b.Store},
+		{"stopTimeout", a.StopTimeout != b.StopTimeout},
+		{"traceEndpoint", a.TraceEndpoint != b.TraceEndpoint},
+	} {
+		if k.differs {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -43,15 +43,17 @@
 type run struct {
 	instance string
 	at       time.Time
+	// traceParent is the span that the request named.
+	traceParent string
 }
 
 // NewRuns returns an empty count.
 func NewRuns() *Runs { return &Runs{attempts: make(map[string][]run)} }
 
-func (r *Runs) add(attempt, instance string) {
+func (r *Runs) add(attempt, instance, traceParent string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.attempts[attempt] = append(r.attempts[attempt], run{instance, time.Now()})
+	r.attempts[attempt] = append(r.attempts[attempt], run{instance, time.Now(), traceParent})
 }
 
 func (r *Runs) fault(format string, args ...any) {
@@ -126,7 +128,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	i.Runs.add(attempt, i.ID)
+	i.Runs.add(attempt, i.ID, r.Header.Get("Traceparent"))
 	if sent, err := io.ReadAll(r.Body); err != nil || len(sent) > 0 && string(sent) != body(attempt) {
 		i.Runs.fault("body: %s was changed: %q, %v", attempt, sent, err)
 	}
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -68,6 +68,8 @@
 	// Network is the second number of the loopback addresses, so that several
 	// fleets can run at a time.
 	Network int
+	// TraceEndpoint receives the spans of the sidecars; empty means none.
+	TraceEndpoint string
 
 	Store *Store
 	Runs  *Runs
@@ -175,9 +177,9 @@
 // Launch starts the sidecar of a VM.
 func (m *Mesh) Launch(v *VM) error {
 	settings := fmt.Sprintf(`{"name":"vm%d","dataCentre":%q,"service":%q,"instance":%q,"callers":%q,"ready":%q,"fleet":%q,
-"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s"}`, v.Index, v.DataCentre,
+"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","traceEndpoint":%q}`, v.Index, v.DataCentre,
 		v.Instance.Service, m.address(v.Index, portProxy), m.address(v.Index, portCallers), m.address(v.Index, portReady),
-		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), v.store.Listen, graceTime)
+		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), v.store.Listen, graceTime, m.TraceEndpoint)
 	path := filepath.Join(m.Folder, fmt.Sprintf("vm%d.jsonc", v.Index))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
