Doubt an instance whose runs are overdue, and bound the last wait

Cause: the end of a run by its deadline says nothing about the instance, so one that hung part of its requests kept getting them. And a request that no gate had room for could wait until its deadline before it was refused.

Change: a run that lasts five times the expected time counts 0.6 as a failure while it goes on. The last wait is bounded to half of the time until the target.

--- a/lib/decision/belief/belief.go
+++ b/lib/decision/belief/belief.go
@@ -51,6 +51,21 @@
 // leads back.
 const minimum = 0.005
 
+const (
+	// hangFactor is the multiple of the expected run time after which a run counts
+	// as a sign of a hang. A few runs in a hundred of a good instance last as long.
+	hangFactor = 5
+	// minHang keeps short runs from counting as hangs for delays of the scheduler.
+	minHang = 250 * time.Millisecond
+	// HangWeight is the weight of such a run as a failure. It is below one, as the
+	// run may also wait for the calls that it made.
+	HangWeight = 0.6
+)
+
+// HangAfter returns how long a run may last before it counts as a failure of
+// weight HangWeight, if runs are expected to last for a time.
+func HangAfter(expected time.Duration) time.Duration { return max(minHang, hangFactor*expected) }
+
 // Filter is the belief about one instance. It is used by one goroutine.
 type Filter struct {
 	Model Model
--- a/lib/decision/belief/belief_test.go
+++ b/lib/decision/belief/belief_test.go
@@ -129,3 +129,27 @@
 	result := func(k int) share { return share{100 * bad[k] / sent[k], 100 * lost[k] / good[k]} }
 	return result(0), result(1)
 }
+
+// TestHang guards against instances that hang part of their requests and are
+// believed to be good, and against one straggler that leaves an instance out.
+func TestHang(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var b strings.Builder
+	f := Filter{Model: DefaultModel}
+	note := func(what string) { fmt.Fprintf(&b, "%s: failing %.2f\n", what, f.Failing(now)) }
+	for range 3 {
+		f.Observe(now, false, 1)
+	}
+	note("three successes")
+	for n := range 3 {
+		now = now.Add(300 * time.Millisecond)
+		f.Observe(now, true, HangWeight)
+		note(fmt.Sprintf("overdue runs %d", n+1))
+	}
+	f.Observe(now, false, 1)
+	note("one of them succeeds")
+	for _, expected := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+		fmt.Fprintf(&b, "expected %v, overdue after %v\n", expected, HangAfter(expected))
+	}
+	golden.Check(t, "hang", b.String())
+}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -79,6 +79,8 @@
 	// admit receives the decision once: an empty reason starts the request.
 	admit chan admission.Reason
 	test  bool
+	// expected is the expected run time, set before the admission.
+	expected time.Duration
 }
 
 // Bind implements kernel.Service.
@@ -218,6 +220,7 @@
 		s.testing++
 		s.lastTest = now
 	}
+	j.expected = s.queue.Expected(j.request.GetRoute())
 	j.admit <- ""
 }
 
@@ -264,6 +267,19 @@
 	s.Scope.Gauge("instance_failing").Update(s.filter.Failing(now))
 }
 
+// overdue notes that a request has been running for so long that the instance
+// may hang. Without it a hang would show only in the load, as the end by the
+// deadline says nothing.
+func (s *Service) overdue(now time.Time, j *job) {
+	s.filter.Observe(now, true, belief.HangWeight)
+	s.Scope.Counter("overdue_runs").Inc(1)
+	if s.journal.AllowRequest(now, j.request.GetAttempt(), false) {
+		s.Log.Info("A run is overdue.", "request", j.request.GetAttempt(), "instance", j.request.GetInstance(),
+			"expected", j.expected, "failing", s.filter.Failing(now))
+	}
+	s.tell(now)
+}
+
 // tell sends a notice if the belief or the load changed so that others would
 // choose differently. Other data centres get no notices about load, which would
 // be most of the bytes between data centres at a crest; they learn it from
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"cassiarack.example/lib/decision/admission"
+	"cassiarack.example/lib/decision/belief"
 	"cassiarack.example/lib/tracing"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/platform"
@@ -124,6 +125,13 @@
 		header.Add(f.GetName(), f.GetValue())
 	}
 	platform.AddressRequest(header, r.GetInstance(), left)
+	watch := time.AfterFunc(belief.HangAfter(j.expected), func() {
+		// A dropped command only delays the belief.
+		if err := s.commands.Offer(func(now time.Time) { s.overdue(now, j) }); err != nil {
+			s.Log.Debug("An overdue run was not noted.", "err", err)
+		}
+	})
+	defer watch.Stop()
 	answer, err := s.run(ctx, &backend.Request{Method: r.GetMethod(), Target: r.GetTarget(), Host: r.GetHost(),
 		Attempt: r.GetAttempt(), Header: header, Body: r.GetBody(), Idempotent: r.GetIdempotent()})
 	ended := time.Now()
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -37,6 +37,10 @@
 	// shortWait is the wait in a queue that is accepted while other gates may
 	// have room.
 	shortWait = 60 * time.Millisecond
+	// longWaitShare is the part of the time until the target that a wait may take
+	// when no gate has room. The rest is for the run, which takes longer than usual
+	// when the services that it calls are full too.
+	longWaitShare = 0.5
 	// answerMargin is how much longer than the deadline a gate may take to say
 	// that it refused a request.
 	answerMargin = 30 * time.Millisecond
@@ -172,7 +176,7 @@
 	}
 	if p.offers > maxOffers {
 		acceptance = wire.Acceptance_ACCEPTANCE_ANY
-		patience = r.Deadline.Sub(now)
+		patience = max(shortWait, time.Duration(longWaitShare*float64(r.TargetTime.Sub(now))))
 	}
 	q := &wire.RunRequest{Instance: pl.ID, Attempt: r.Attempt, Method: r.Method, Target: r.Target, Host: r.Host,
 		Body: r.Body, Remaining: int64(r.Deadline.Sub(now)), RemainingTarget: int64(r.TargetTime.Sub(now)),
--- a/standin/mesh/check.go
+++ b/standin/mesh/check.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -163,14 +164,14 @@
 }
 
 // ask returns the status of one request to the sidecar of a VM, or 0.
-func (m *Mesh) ask(ctx context.Context, v *VM, path string) int {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%v%sx", m.address(v.Index, portCallers), path), nil)
+func (m *Mesh) ask(ctx context.Context, v *VM, path, attempt string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%v%s%s", m.address(v.Index, portCallers), path, attempt), nil)
 	if err != nil {
 		return 0
 	}
 	req.Host = "mesh.example"
-	req.Header.Set("X-Cassiarack-Attempt-Id", "ask"+v.Address.String())
-	req.Header.Set("X-Cassiarack-Deadline-Ms", "1000")
+	req.Header.Set("X-Cassiarack-Attempt-Id", attempt)
+	req.Header.Set("X-Cassiarack-Deadline-Ms", strconv.FormatInt(clientDeadline.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
--- /dev/null
+++ b/standin/mesh/hang_test.go
@@ -0,0 +1,56 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestHang guards against an instance that hangs half of its requests and keeps
+// getting them until their deadlines pass: its gate must doubt it before that.
+func TestHang(t *testing.T) {
+	is := is.New(t)
+	m := &Mesh{Program: program, Folder: t.TempDir(), Services: map[string]int{"alpha": 2, "beta": 1}, Network: 67}
+	defer m.Stop()
+	is.NoErr(m.Start(t.Context()))
+	var sick *VM
+	for _, v := range m.VMs {
+		if v.Instance.Service == "alpha" {
+			sick = v
+		}
+	}
+	// The gate learns the usual run time first.
+	for n := range 40 {
+		m.ask(t.Context(), sick, "/read/", fmt.Sprintf("before%d", n))
+	}
+	sick.Instance.SetMode(Hangs)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	began := time.Now()
+	var clients sync.WaitGroup
+	for n := range 8 {
+		clients.Go(func() {
+			for k := 0; ctx.Err() == nil; k++ {
+				m.ask(ctx, sick, "/read/", fmt.Sprintf("hang%d-%d", n, k))
+			}
+		})
+	}
+	log := filepath.Join(m.Folder, fmt.Sprintf("vm%d.log", sick.Index))
+	doubted := false
+	for !doubted && time.Since(began) < clientDeadline {
+		text, err := os.ReadFile(log)
+		is.NoErr(err)
+		doubted = strings.Contains(string(text), "doubtful=true")
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+	clients.Wait()
+	is.True(doubted) // before the first deadline
+}
--- a/standin/mesh/soak.go
+++ b/standin/mesh/soak.go
@@ -204,7 +204,7 @@
 	time.Sleep(drainBound + time.Second)
 	path := s.routes[len(s.routes)-1].prefix
 	for _, v := range s.VMs {
-		if status := s.ask(ctx, v, path); status == 404 || status == 0 {
+		if status := s.ask(ctx, v, path, fmt.Sprintf("calm%d", v.Index)); status == 404 || status == 0 {
 			s.broken = append(s.broken, fmt.Sprintf("config: VM %d answers %d on a new route", v.Index, status))
 		}
 	}
