Bound the recovery in the soak, and keep the connection of a second answer open

Cause: with protections switched off one by one, two of the soak's checks did not fail. A sidecar that never became ready again made the soak wait without end, and a second answer could not reach another request, as the stand-in closed the connection behind it.

Change: recovery is bounded to 15 s, and the connection stays open for 0.3 s after a second answer.

--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -30,8 +30,12 @@
 // InstanceModes are all ways in which an instance may misbehave.
 var InstanceModes = []Mode{Errors, Sheds, Hangs, Lost, Cuts, Extra, ExtraLate, Unframed, Garbage, Unsigned}
 
-// extraDelay is when a late second answer is sent.
-const extraDelay = 30 * time.Millisecond
+const (
+	// extraDelay is when a late second answer is sent.
+	extraDelay = 30 * time.Millisecond
+	// extraLinger is how long the connection stays open after it.
+	extraLinger = 300 * time.Millisecond
+)
 
 // Runs counts the executions of requests at all instances.
 type Runs struct {
@@ -190,4 +194,7 @@
 	time.Sleep(delay)
 	// The sidecar may have closed the connection after the first answer.
 	_, _ = io.WriteString(c, second)
+	// A sidecar that uses the connection again takes the second answer for that to
+	// its next request.
+	time.Sleep(extraLinger)
 }
--- a/standin/mesh/soak.go
+++ b/standin/mesh/soak.go
@@ -17,6 +17,8 @@
 	// faultPause is the longest time between two faults; faults last longer, so
 	// that they overlap.
 	faultPause = 500 * time.Millisecond
+	// recoverBound is how long sidecars may take to be ready after the last fault.
+	recoverBound = 15 * time.Second
 	// faultTime is the longest time that a fault lasts.
 	faultTime = 3 * time.Second
 )
@@ -192,7 +194,9 @@
 
 // calm checks draining and a new configuration without other faults.
 func (s *soak) calm(ctx context.Context) {
-	if err := s.awaitReady(ctx); err != nil {
+	recovery, cancel := context.WithTimeout(ctx, recoverBound)
+	defer cancel()
+	if err := s.awaitReady(recovery); err != nil {
 		s.broken = append(s.broken, fmt.Sprintf("recover: %v", err))
 		return
 	}
