Give the second answer of the stand-in its own length

Cause: the text of the second answer was shortened without its length, so that a sidecar that took it for the answer to the next request waited for more and failed it: the soak could not see the fault that it looks for.

--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -146,9 +146,7 @@
 
 // answer sends the answer in the way of the mode.
 func (i *Instance) answer(w http.ResponseWriter, r *http.Request, attempt string, mode Mode) {
-	text := body(attempt)
-	head := fmt.Sprintf("X-Cassiarack-Attempt-Id: %s\r\nX-Cassiarack-Response-Signature: %s\r\n", attempt, i.ID)
-	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
+	text, head, whole := body(attempt), i.head(attempt), i.whole(attempt)
 	switch mode {
 	case Errors:
 		raw(w, fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 0\r\n\r\n", head), "", 0)
@@ -159,9 +157,9 @@
 	case Cuts:
 		raw(w, whole[:len(whole)-1-rand.IntN(len(text))], "", 0)
 	case Extra:
-		raw(w, whole, strings.ReplaceAll(whole, attempt, "other"), 0)
+		raw(w, whole, i.whole("other"), 0)
 	case ExtraLate:
-		raw(w, whole, strings.ReplaceAll(whole, attempt, "other"), extraDelay)
+		raw(w, whole, i.whole("other"), extraDelay)
 	case Unframed:
 		raw(w, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+text, "", 0)
 	case Garbage:
@@ -176,6 +174,17 @@
 	}
 }
 
+// head returns the headers that identify the answer to an attempt.
+func (i *Instance) head(attempt string) string {
+	return fmt.Sprintf("X-Cassiarack-Attempt-Id: %s\r\nX-Cassiarack-Response-Signature: %s\r\n", attempt, i.ID)
+}
+
+// whole returns the whole answer to an attempt.
+func (i *Instance) whole(attempt string) string {
+	text := body(attempt)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", i.head(attempt), len(text), text)
+}
+
 // raw writes bytes to the connection of a request and closes it, after a delay
 // and more bytes where they are given.
 func raw(w http.ResponseWriter, first, second string, delay time.Duration) {
