--- a/sidecar/names/names.go
+++ b/sidecar/names/names.go
@@ -13,4 +13,5 @@
 	Relay       = "relay"
 	Ingress     = "ingress"
 	Admin       = "admin"
+	Settings    = "settings"
 )
--- a/sidecar/reload.go
+++ b/sidecar/reload.go
@@ -9,6 +9,8 @@
 
 	"github.com/charmbracelet/log"
 
+	"cassiarack.example/lib/kernel"
+	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/settings"
 )
 
@@ -16,34 +18,61 @@
 // without a signal.
 const settingsInterval = 2 * time.Second
 
-// reloader reads the settings again and applies those that may change.
+// reloader is the service that reads the settings again and puts those in force
+// that may change.
 type reloader struct {
 	// Started are the settings at the start of the process.
 	Started *settings.Settings
 	// Read returns the settings as they are now.
 	Read func() (*settings.Settings, error)
-	// Apply puts settings in force.
-	Apply func(s *settings.Settings, level log.Level)
-	Log   *log.Logger
+	// Hangups delivers SIGHUP.
+	Hangups <-chan os.Signal
+	Log     *log.Logger
+
+	journal leveller
+	relay   repeater
 
 	last *settings.Settings
 	// failed is the last error, so that a file that stays faulty is logged once.
 	failed string
 }
 
-// Run reads the settings after SIGHUP and at intervals. It never stops to take
-// the signal, whose default would end the process during its stop.
-func (r *reloader) Run(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// leveller takes a new log level.
+type leveller interface{ SetLevel(level log.Level) }
+
+// repeater takes a new budget for repeats.
+type repeater interface {
+	SetRepeats(ratio, slack float64, window time.Duration)
+}
+
+// hangups takes SIGHUP from now on, also during a stop, as its default would end
+// the process.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+// Bind implements kernel.Service.
+func (r *reloader) Bind(dir *kernel.Directory) error {
+	r.last = r.Started
+	var err error
+	if r.journal, err = kernel.Find[leveller](dir, names.Journal); err != nil {
+		return err
+	}
+	r.relay, err = kernel.Find[repeater](dir, names.Relay)
+	return err
+}
+
+// Run implements kernel.Service.
+func (r *reloader) Run(ctx context.Context) error {
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
-	r.last = r.Started
 	for {
 		select {
 		case <-ctx.Done():
-			return
-		case <-hangups:
+			return nil
+		case <-r.Hangups:
 			r.reload(true)
 		case <-t.C:
 			r.reload(false)
@@ -75,7 +104,9 @@
 		return
 	}
 	r.last = s
-	r.Apply(s, level)
+	setMemoryLimit(s)
+	r.journal.SetLevel(level)
+	r.relay.SetRepeats(s.RepeatRatio, s.RepeatSlack, s.RepeatWindow)
 	if keys := settings.Fixed(r.Started, s); len(keys) > 0 {
 		r.Log.Warn("Changed settings take effect at the next start.", "keys", keys)
 	}
--- a/sidecar/reload_test.go
+++ b/sidecar/reload_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -12,6 +13,15 @@
 	"cassiarack.example/sidecar/settings"
 )
 
+// recorder writes down what is put in force.
+type recorder struct{ out *bytes.Buffer }
+
+func (r *recorder) SetLevel(level log.Level) { fmt.Fprintf(r.out, "level %s\n", level) }
+
+func (r *recorder) SetRepeats(ratio, slack float64, window time.Duration) {
+	fmt.Fprintf(r.out, "repeats %g, %g, %v\n", ratio, slack, window)
+}
+
 // TestReload guards against changed settings that are only logged, faulty ones
 // that are applied or end the process, and changes of addresses that are passed
 // over in silence.
@@ -20,11 +30,10 @@
 	var out bytes.Buffer
 	var next *settings.Settings
 	var fault error
-	r := &reloader{Started: started, last: started, Log: log.NewWithOptions(&out, log.Options{Formatter: log.LogfmtFormatter}),
-		Read: func() (*settings.Settings, error) { return next, fault },
-		Apply: func(s *settings.Settings, level log.Level) {
-			fmt.Fprintf(&out, "applied: slack %g, level %s\n", s.RepeatSlack, level)
-		}}
+	applied := &recorder{out: &out}
+	r := &reloader{Started: started, last: started, journal: applied, relay: applied,
+		Log:  log.NewWithOptions(&out, log.Options{Formatter: log.LogfmtFormatter}),
+		Read: func() (*settings.Settings, error) { return next, fault }}
 	step := func(name string, s settings.Settings, err error, signalled bool) {
 		out.WriteString("-- " + name + "\n")
 		next, fault = &s, err
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -94,15 +94,9 @@
 		return err
 	}
 	defer stopTracing()
-	r := newRelay(s, j)
-	re := &reloader{Started: s, Read: read, Log: own, Apply: func(now *settings.Settings, level log.Level) {
-		setMemoryLimit(now)
-		j.SetLevel(level)
-		r.SetRepeats(now.RepeatRatio, now.RepeatSlack, now.RepeatWindow)
-	}}
-	go re.Run(ctx)
-	k := &kernel.Kernel{Registrations: registrations(s, l, j, r), Log: j.Logger("kernel"),
-		DrainTimeout: s.StopTimeout - stopMargin}
+	services := append(registrations(s, l, j), kernel.Registration{Name: names.Settings,
+		Needs: []string{names.Journal, names.Relay}, Service: &reloader{Started: s, Read: read, Hangups: hangups(), Log: own}})
+	k := &kernel.Kernel{Registrations: services, Log: j.Logger("kernel"), DrainTimeout: s.StopTimeout - stopMargin}
 	own.Info("Started.", "vm", s.Name, "service", s.Service, "callers", s.Callers, "fleet", s.Fleet,
 		"version", version)
 	context.AfterFunc(ctx, func() { own.Info("Stopping.", "vm", s.Name, "timeout", s.StopTimeout) })
@@ -115,13 +109,6 @@
 	}
 }
 
-func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
-func newRelay(s *settings.Settings, j *journal.Service) *relay.Service {
-	return &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: s.Fleet.Port(), RepeatRatio: s.RepeatRatio,
-		RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Log: j.Logger("relay")}
-}
-
 func logLevel(text string) (log.Level, error) {
 	if text == "" {
 		return log.InfoLevel, nil
@@ -134,11 +121,11 @@
 }
 
 // registrations lists the services of a sidecar.
-func registrations(s *settings.Settings, l *listeners, j *journal.Service, r *relay.Service) []kernel.Registration {
+func registrations(s *settings.Settings, l *listeners, j *journal.Service) []kernel.Registration {
 	m := metrics.New(s.Name, s.DataCentre)
 	scope := m.Scope()
 	port := s.Fleet.Port()
-	r.Scope = scope
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	store := &platform.Store{Address: s.Store, HTTP: storeClient(), Called: func(call string, took time.Duration, err error) {
 		result := "ok"
 		if err != nil {
@@ -160,7 +147,9 @@
 		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
 			Instance: s.Instance, Scope: scope, Log: j.Logger("gate")}},
 		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Journal},
-			Service: r},
+			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
+				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
+				Log: j.Logger("relay")}},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Scope: scope, Log: j.Logger("ingress")}},
 		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
