Count overdue runs only once the usual run time is known

Nine sidecars doubted healthy instances.

Ruled out: slow instances (the runs succeeded) and a full service.

--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -10,6 +10,9 @@
 	initialWork = 150 * time.Millisecond
 	// learning is the weight of a new observation of a run time.
 	learning = 0.1
+	// learnedRuns is the number of observations after which two thirds of an
+	// expectation come from them.
+	learnedRuns = 10
 	// outlier bounds an observation relative to the expectation, as stragglers
 	// run many times longer than the rest.
 	outlier = 4
@@ -60,6 +63,8 @@
 	running int
 	waiting []Entry[T]
 	work    map[string]time.Duration
+	// runs counts the observed run times of each route.
+	runs map[string]int
 }
 
 // Running and Waiting return the number of requests in each state.
@@ -76,6 +81,15 @@
 	return initialWork
 }
 
+// Learned returns the expected run time of a route, or zero while too few runs
+// were observed to tell a long one from a usual one.
+func (q *Queue[T]) Learned(route string) time.Duration {
+	if q.runs[route] < learnedRuns {
+		return 0
+	}
+	return q.work[route]
+}
+
 // Offer decides on a new request: it runs at once (start), waits, or is refused
 // with a reason.
 func (q *Queue[T]) Offer(now time.Time, r Request, v T) (start bool, reason Reason) {
@@ -178,8 +192,9 @@
 	old := q.Expected(route)
 	ran = min(ran, outlier*old)
 	if q.work == nil {
-		q.work = make(map[string]time.Duration)
+		q.work, q.runs = make(map[string]time.Duration), make(map[string]int)
 	}
+	q.runs[route]++
 	q.work[route] = old + time.Duration(learning*float64(ran-old))
 }
 
--- a/lib/decision/admission/admission_test.go
+++ b/lib/decision/admission/admission_test.go
@@ -48,6 +48,21 @@
 	golden.Check(t, "queue", b.String())
 }
 
+// TestLearned guards against healthy instances that are doubted after a start,
+// when usual runs last much longer than the initial expectation.
+func TestLearned(t *testing.T) {
+	q := Queue[string]{Slots: 1}
+	for n := range learnedRuns {
+		if l := q.Learned("r"); l != 0 {
+			t.Errorf("after %d runs of 750 ms, 150 ms before any, %v counts as learned", n, l)
+		}
+		q.Finish("r", 750*ms)
+	}
+	if l := q.Learned("r"); l < 500*ms || l > 750*ms {
+		t.Errorf("after %d runs of 750 ms %v is expected", learnedRuns, l)
+	}
+}
+
 // TestCrest plays a demand of twice the capacity for ten seconds and compares
 // the queue with a first-in first-out queue without refusals. It guards against
 // slots that are spent on requests whose callers get nothing from the answer.
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -79,7 +79,8 @@
 	// admit receives the decision once: an empty reason starts the request.
 	admit chan admission.Reason
 	test  bool
-	// expected is the expected run time, set before the admission.
+	// expected is the expected run time, set before the admission; zero if it is
+	// not known well.
 	expected time.Duration
 }
 
@@ -220,7 +221,7 @@
 		s.testing++
 		s.lastTest = now
 	}
-	j.expected = s.queue.Expected(j.request.GetRoute())
+	j.expected = s.queue.Learned(j.request.GetRoute())
 	j.admit <- ""
 }
 
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -125,13 +125,7 @@
 		header.Add(f.GetName(), f.GetValue())
 	}
 	platform.AddressRequest(header, r.GetInstance(), left)
-	watch := time.AfterFunc(belief.HangAfter(j.expected), func() {
-		// A dropped command only delays the belief.
-		if err := s.commands.Offer(func(now time.Time) { s.overdue(now, j) }); err != nil {
-			s.Log.Debug("An overdue run was not noted.", "err", err)
-		}
-	})
-	defer watch.Stop()
+	defer s.watch(j)()
 	answer, err := s.run(ctx, &backend.Request{Method: r.GetMethod(), Target: r.GetTarget(), Host: r.GetHost(),
 		Attempt: r.GetAttempt(), Header: header, Body: r.GetBody(), Idempotent: r.GetIdempotent()})
 	ended := time.Now()
@@ -158,6 +152,19 @@
 	return reply, nil
 }
 
+// watch notes a run that lasts too long, and returns a function that ends it.
+func (s *Service) watch(j *job) func() bool {
+	if j.expected == 0 {
+		return func() bool { return false }
+	}
+	return time.AfterFunc(belief.HangAfter(j.expected), func() {
+		// A dropped command only delays the belief.
+		if err := s.commands.Offer(func(now time.Time) { s.overdue(now, j) }); err != nil {
+			s.Log.Debug("An overdue run was not noted.", "err", err)
+		}
+	}).Stop
+}
+
 // run sends a request to the instance, in a span that its header names.
 func (s *Service) run(ctx context.Context, r *backend.Request) (*message.Answer, error) {
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "run", trace.WithSpanKind(trace.SpanKindClient))
