Bound faulty answers, doubt repeated refusals, close gates late

Endless bytes. Cause: http.ReadResponse read a head without a bound, 1xx answers without a count, and all bodies together had none. Change: 64 KB a head, 8 informational answers, 12 MB an encoded body, and pools for the bodies of requests and of answers of 15% of the memory limit each.

Repeated refusals. Cause: an answer without identifier was taken for that of the request, so that a refusal written once more denied a run; and a second round of offers asked an instance again that had refused the request itself. Change: without the identifier an answer counts only as the first on its connection; bytes behind a refusal make it doubtful; an instance that refused a request does not get it again.

Cause of the failure of TestSoak: the signal ended a sidecar that was starting, as its handler came last. The soak starts such a sidecar again, as the platform does, and reports each other end of a sidecar by itself.

Change: the gate closes one mean run time before the earliest end of the stop.

--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -129,13 +129,13 @@
 		}
 	}
 	// Running requests are half done on average.
-	ahead += time.Duration(q.running) * q.meanRunTime() / 2
+	ahead += time.Duration(q.running) * q.MeanRunTime() / 2
 	return ahead / time.Duration(max(q.Slots, 1))
 }
 
-// meanRunTime returns the mean of the expected run times of the observed
-// routes.
-func (q *Queue[T]) meanRunTime() time.Duration {
+// MeanRunTime returns the mean of the expected run times of the observed
+// routes, or a default without observations.
+func (q *Queue[T]) MeanRunTime() time.Duration {
 	if len(q.runTimes) == 0 {
 		return initialRunTime
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -8,9 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -18,6 +16,7 @@
 	"cassiarack.example/lib/decision/choice"
 	"cassiarack.example/lib/decision/health"
 	"cassiarack.example/lib/decision/member"
+	"cassiarack.example/lib/hangup"
 	"cassiarack.example/lib/input/settings"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/platform"
@@ -118,7 +117,7 @@
 		{
 			Name:    service.Credentials,
 			Needs:   []string{service.Peers},
-			Service: &credentials.Service{ReadSettings: n.readSettings, Reload: hangupSignals(), Log: n.log("credentials")},
+			Service: &credentials.Service{ReadSettings: n.readSettings, Reload: hangup.Signals(), Log: n.log("credentials")},
 		},
 		{
 			Name:    service.Gossip,
@@ -208,14 +207,6 @@
 	}
 }
 
-// hangupSignals returns a channel that receives SIGHUP, on which the node reads its
-// credentials again.
-func hangupSignals() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c
-}
-
 func (n *node) gossip() *gossip.Service {
 	s := n.settings
 	return &gossip.Service{
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -1,9 +1,13 @@
 // Package backend is an HTTP/1.1 client for the instance on the same VM.
 //
-// A response is returned only if it is complete and does not bear the
-// identifier of another request. A success must bear the identifier of the
-// request and the signature of the instance. Bytes after a complete response
-// belong to no request, so the connection is then not used again.
+// A response is returned only if it is complete and can be that of no other
+// request: it bears the identifier of the request, or it is the first response on
+// its connection and bears none. A success must bear the identifier and the
+// signature of the instance. Bytes after a complete response belong to no request,
+// so the connection is then not used again.
+//
+// The size of a head, the number of informational responses and the memory of all
+// bodies are bounded, since a faulty instance may send bytes without end.
 package backend
 
 import (
@@ -21,6 +25,7 @@
 
 	"cassiarack.example/lib/link"
 	"cassiarack.example/platform"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
 
@@ -45,6 +50,15 @@
 	// wait, a fast response would make the connection unusable.
 	sendGrace  = 2 * time.Millisecond
 	bufferSize = 4 << 10
+	// maxHead bounds the head of a response in bytes. Heads of instances have
+	// less than 1 KB.
+	maxHead = 64 << 10
+	// maxInformational is the number of informational responses (1xx) that may
+	// precede a response.
+	maxInformational = 8
+	// maxBodyOnWire bounds the encoded body of a response in bytes: the body, the
+	// sizes of its chunks and its trailer.
+	maxBodyOnWire = 2*message.MaxBody + maxHead
 )
 
 // Kind classifies an Error.
@@ -102,16 +116,42 @@
 	Address netip.AddrPort
 	// OnOpen, if not nil, is called after each new connection is opened.
 	OnOpen func()
+	// Memory is the pool for the bodies of answers. The caller of Do releases the
+	// body of an answer.
+	Memory *memory.Pool
 
 	mu   sync.Mutex
 	idle []*conn
 }
 
+// boundedReader returns errTooLong once allowed bytes were read.
+type boundedReader struct {
+	source  io.Reader
+	allowed int64
+}
+
+// errTooLong means that a head or the encoding of a body exceeds its bound.
+var errTooLong = errors.New("too many bytes")
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.allowed <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.source.Read(p[:min(int64(len(p)), b.allowed)])
+	b.allowed -= int64(n)
+	return n, err
+}
+
 // conn is one connection. While it is idle, a goroutine waits for its end or
 // for unexpected bytes.
 type conn struct {
-	net       net.Conn
-	reader    *bufio.Reader
+	net    net.Conn
+	in     *boundedReader
+	reader *bufio.Reader
+	memory *memory.Pool
+	// used is set once a response was read on the connection.
+	used      bool
 	idleSince time.Time
 	idleLimit time.Duration
 	// watchDone is closed when the watching goroutine has ended; broken may be
@@ -123,12 +163,13 @@
 // Do sends a request and returns its complete response. When ctx ends, Do
 // closes the connection, so that the instance can cancel its work.
 func (c *Client) Do(ctx context.Context, r *Request) (*message.Answer, error) {
-	cn, err := c.getConn(ctx, r.Idempotent)
+	cn, err := c.getConn(ctx, r)
 	if err != nil {
 		return nil, &Error{Op: "connect", Kind: KindConnect, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { cn.net.Close() })
 	answer, reusable, err := cn.exchange(r)
+	cn.used = true
 	if !stop() {
 		cn.net.Close()
 		if err != nil {
@@ -145,8 +186,13 @@
 }
 
 // getConn returns the idle connection that was used last, or opens a new one.
-// It closes idle connections that are broken or have been idle for too long.
-func (c *Client) getConn(ctx context.Context, idempotent bool) (*conn, error) {
+// It closes idle connections that are broken or have been idle for too long. A
+// request without an identifier gets a new connection, since a late answer could
+// be taken for its own.
+func (c *Client) getConn(ctx context.Context, r *Request) (*conn, error) {
+	if r.Attempt == "" {
+		return c.dial(ctx)
+	}
 	now := time.Now()
 	for {
 		cn := c.takeIdle()
@@ -154,7 +200,7 @@
 			return c.dial(ctx)
 		}
 		limit := cn.idleLimit
-		if !idempotent {
+		if !r.Idempotent {
 			limit = min(limit, maxIdleNonIdempotent)
 		}
 		if cn.stopWatch() && now.Sub(cn.idleSince) < limit {
@@ -185,7 +231,8 @@
 	if c.OnOpen != nil {
 		c.OnOpen()
 	}
-	return &conn{net: raw, reader: bufio.NewReaderSize(raw, bufferSize), idleLimit: maxIdle}, nil
+	in := &boundedReader{source: raw, allowed: maxHead}
+	return &conn{net: raw, in: in, reader: bufio.NewReaderSize(in, bufferSize), idleLimit: maxIdle, memory: c.Memory}, nil
 }
 
 func (c *Client) putIdle(cn *conn) {
@@ -214,6 +261,7 @@
 // watch starts a goroutine that marks an idle connection as broken when it ends
 // or when bytes arrive that belong to no request.
 func (cn *conn) watch() {
+	cn.in.allowed = maxHead
 	cn.watchDone = make(chan struct{})
 	go func() {
 		defer close(cn.watchDone)
@@ -290,8 +338,8 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// receive reads responses until one does not bear the identifier of another
-// request. It gives up after maxForeignAnswers responses to other requests.
+// receive reads responses until one is that of r. It gives up after
+// maxForeignAnswers responses to other requests.
 func (cn *conn) receive(r *Request) (*message.Answer, bool, error) {
 	for range maxForeignAnswers + 1 {
 		resp, body, err := cn.readResponse(r)
@@ -299,11 +347,13 @@
 			return nil, false, err
 		}
 		id := platform.AttemptID(resp.Header)
-		if id != "" && id != r.Attempt {
+		if cn.isForeign(id, r) {
+			cn.memory.Release(body)
 			continue
 		}
-		if resp.StatusCode/100 == 2 && (id != r.Attempt || !platform.HasSignature(resp.Header)) {
-			return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: errUnidentified}
+		if err := cn.check(resp, id, r); err != nil {
+			cn.memory.Release(body)
+			return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: err}
 		}
 		if limit, ok := platform.IdleTimeout(resp.Header); ok {
 			cn.idleLimit = min(maxIdle, max(limit-idleMargin, 0))
@@ -317,13 +367,39 @@
 	return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("answers to other requests")}
 }
 
-// errUnidentified means that a success may be the response to another request.
-var errUnidentified = errors.New("success without signature or identifier")
+// isForeign reports whether a response with the identifier id may be that of
+// another request. A response without an identifier may be a late one, or an
+// earlier one written again, unless it is the first on its connection.
+func (cn *conn) isForeign(id string, r *Request) bool {
+	return id != r.Attempt && (id != "" || cn.used)
+}
 
-// readResponse reads the next response and its body, and skips informational
-// responses (1xx).
+// check returns an error for a success that is not clearly that of r, and for a
+// refusal whose statement is in doubt.
+func (cn *conn) check(resp *http.Response, id string, r *Request) error {
+	switch {
+	case resp.StatusCode/100 == 2 && (id != r.Attempt || !platform.HasSignature(resp.Header)):
+		return errUnidentified
+	case platform.NotExecuted(resp.StatusCode, resp.Header) && cn.reader.Buffered() > 0:
+		return errDoubtfulRefusal
+	}
+	return nil
+}
+
+var (
+	// errUnidentified means that a success may be the response to another
+	// request.
+	errUnidentified = errors.New("success without signature or identifier")
+	// errDoubtfulRefusal means that more bytes follow a refusal. They may be the
+	// answer of a run that the refusal denies.
+	errDoubtfulRefusal = errors.New("bytes after a refusal")
+)
+
+// readResponse reads the next response and its body, and skips up to
+// maxInformational informational responses (1xx).
 func (cn *conn) readResponse(r *Request) (*http.Response, []byte, error) {
-	for {
+	for range maxInformational + 1 {
+		cn.in.allowed = maxHead
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			kind := KindLost
@@ -332,18 +408,19 @@
 			}
 			return nil, nil, &Error{Op: "read", Kind: kind, Err: err}
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBody+1))
-		resp.Body.Close()
-		switch {
-		case err != nil:
-			return nil, nil, &Error{Op: "read body", Kind: KindInvalid, Err: err}
-		case len(body) > message.MaxBody:
-			return nil, nil, &Error{Op: "read body", Kind: KindInvalid, Err: errors.New("body too large")}
-		case resp.StatusCode/100 == 1:
+		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		cn.in.allowed = maxBodyOnWire
+		body, err := cn.memory.ReadAll(resp.Body, message.MaxBody)
+		if err != nil {
+			// The body is not closed, as Close would read on to its end.
+			return nil, nil, &Error{Op: "read body", Kind: KindInvalid, Err: err}
+		}
+		resp.Body.Close()
 		return resp, body, nil
 	}
+	return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("too many informational responses")}
 }
 
 // isConnectionLost reports whether err means that the connection ended, rather
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,9 @@
 	"github.com/matryer/is"
 
 	"cassiarack.example/lib/golden"
+	"cassiarack.example/platform"
+	"cassiarack.example/sidecar/memory"
+	"cassiarack.example/sidecar/message"
 )
 
 // fakeInstance is an HTTP server that sends the next of its responses for each
@@ -71,7 +75,7 @@
 }
 
 func (i *fakeInstance) client() *Client {
-	return &Client{Address: netip.MustParseAddrPort(i.listener.Addr().String())}
+	return &Client{Address: netip.MustParseAddrPort(i.listener.Addr().String()), Memory: &memory.Pool{}}
 }
 
 func get(id string) *Request {
@@ -199,3 +203,155 @@
 	is.True(errors.As(err, &e))
 	is.Equal(e.Kind, KindCancelled)
 }
+
+// endlessInstance accepts connections and, after the head of a request, sends
+// start once and then repeats more until the connection closes. Closed receives an
+// item when a connection was closed by the client.
+func endlessInstance(t *testing.T, start, more string) (client *Client, closed chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	closed = make(chan struct{}, 16)
+	block := strings.Repeat(more, 1+(16<<10)/len(more))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, start)
+				for err == nil {
+					_, err = io.WriteString(c, block)
+				}
+				closed <- struct{}{}
+			}()
+		}
+	}()
+	return &Client{Address: netip.MustParseAddrPort(l.Addr().String()), Memory: &memory.Pool{Limit: 32 << 20}}, closed
+}
+
+// TestEndlessAnswers guards against an instance whose bytes without end, in any
+// part of an answer, fill the memory of the process or keep it busy until the
+// deadline. Before heads were bounded, a single header line grew to 4.2 GB within
+// a deadline of 3 s.
+func TestEndlessAnswers(t *testing.T) {
+	const (
+		deadline = 20 * time.Second
+		// smallestMachine is the memory limit of the smallest VM in bytes.
+		smallestMachine = 184 << 20
+	)
+	head := ok + idA + signed
+	cases := []struct{ name, start, more string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"one header", ok + "A: ", "x"},
+		{"many headers", ok, "A: b\r\n"},
+		{"empty lines", "", "\r\n"},
+		{"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"informational headers", "HTTP/1.1 103 Early Hints\r\n", "A: b\r\n"},
+		{"size of a chunk", head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"small chunks with extensions", head + "Transfer-Encoding: chunked\r\n\r\n", "1;abcdefghij\r\nx\r\n"},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"},
+		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		{"body without length", head + "Connection: close\r\n\r\n", "x"},
+		{"body with a false length", head + "Content-Length: 99999999999\r\n\r\n", "x"},
+		{"answers to other requests", "", ok + idB + signed + "Content-Length: 2\r\n\r\nhi"},
+	}
+	var b strings.Builder
+	for _, tc := range cases {
+		c, closed := endlessInstance(t, tc.start, tc.more)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		ctx, cancel := context.WithTimeout(t.Context(), deadline)
+		_, err := c.Do(ctx, get("a"))
+		var e *Error
+		if !errors.As(err, &e) {
+			t.Fatalf("%s: error %v", tc.name, err)
+		}
+		if ctx.Err() != nil {
+			t.Errorf("%s: ended only at the deadline", tc.name)
+		}
+		cancel()
+		<-closed
+		runtime.ReadMemStats(&after)
+		// The sum of all allocations bounds the peak.
+		if grown := after.TotalAlloc - before.TotalAlloc; grown > smallestMachine {
+			t.Errorf("%s: %d bytes allocated", tc.name, grown)
+		}
+		fmt.Fprintf(&b, "%s: %s, %d bytes in use\n", tc.name, e.Kind, c.Memory.Used())
+	}
+	golden.Check(t, "endless", b.String())
+}
+
+// TestEndlessBodiesTogether guards against many answers without end that each
+// keep their own bound and together exceed the memory of the process.
+func TestEndlessBodiesTogether(t *testing.T) {
+	is := is.New(t)
+	c, _ := endlessInstance(t, ok+idA+signed+"Connection: close\r\n\r\n", "x")
+	c.Memory.Limit = message.MaxBody / 2
+	results := make(chan error, 12)
+	for range cap(results) {
+		go func() {
+			_, err := c.Do(t.Context(), get("a"))
+			results <- err
+		}()
+	}
+	for range cap(results) {
+		is.True(memory.IsKind(<-results, memory.KindExhausted))
+	}
+	is.Equal(c.Memory.Used(), int64(0))
+}
+
+// TestRepeatedRefusal guards against a refusal of an earlier request that a faulty
+// instance writes once more on a kept connection: the client would be told that
+// its request was not run while the instance runs it, or the request would run at
+// a second instance. The refusal bears the identifier of the earlier request, none,
+// or that of the present request.
+func TestRepeatedRefusal(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 x\r\n" + id + "X-Cassiarack-Not-Executed: full\r\nContent-Length: 0\r\n\r\n"
+	}
+	misdirected := func(id string) string { return "HTTP/1.1 421 x\r\n" + id + "Content-Length: 0\r\n\r\n" }
+	answer := ok + idB + signed + "Content-Length: 2\r\n\r\nhi"
+	cases := []struct {
+		name string
+		// first is the response to request a, second what follows request b.
+		first, second string
+	}{
+		{"earlier identifier", refusal(idA), refusal(idA) + answer},
+		{"no identifier", refusal(idA), refusal("") + answer},
+		{"no identifier and no answer", refusal(idA), refusal("") + refusal("") + refusal("") + refusal("")},
+		{"misdirected without identifier", misdirected(idA), misdirected("") + answer},
+		{"failure without identifier", refusal(idA), "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n" + answer},
+		{"present identifier before the answer", refusal(idA), refusal(idB) + answer},
+		{"present identifier, misdirected before the answer", refusal(idA), misdirected(idB) + answer},
+		{"together with the first refusal", refusal(idA) + refusal(idA), answer},
+		{"a refusal of its own", refusal(idA), refusal(idB)},
+	}
+	var b strings.Builder
+	for _, tc := range cases {
+		i := startInstance(t, tc.first, tc.second, tc.second)
+		c := i.client()
+		for _, id := range []string{"a", "b"} {
+			a, err := c.Do(t.Context(), get(id))
+			var e *Error
+			switch {
+			case errors.As(err, &e):
+				fmt.Fprintf(&b, "%s: %s: %s\n", tc.name, id, e.Kind)
+			case platform.NotExecuted(a.Status, a.Header):
+				fmt.Fprintf(&b, "%s: %s: not run\n", tc.name, id)
+			default:
+				fmt.Fprintf(&b, "%s: %s: %d %q\n", tc.name, id, a.Status, a.Body)
+			}
+		}
+	}
+	golden.Check(t, "refusals", b.String())
+}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -26,6 +26,7 @@
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
 	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/notice"
 	"cassiarack.example/sidecar/publication"
@@ -50,8 +51,13 @@
 type Service struct {
 	// Instance is the address of the instance.
 	Instance netip.AddrPort
-	Scope    tally.Scope
-	Log      *log.Logger
+	// Answers is the pool for the bodies of the instance's answers.
+	Answers *memory.Pool
+	// MinStopTime is the shortest time from the start of a shutdown to the end of
+	// the process. The gate admits requests for most of it.
+	MinStopTime time.Duration
+	Scope       tally.Scope
+	Log         *log.Logger
 
 	publication *publication.Service
 	notices     *notice.Service
@@ -71,9 +77,11 @@
 	announcedDoubtful bool
 	announcedFull     bool
 	leaving           bool
-	lastNoticeAt      time.Time
-	instanceID        string
-	instanceStart     time.Time
+	// closeAt is when the gate closes during a shutdown. It is zero before one.
+	closeAt       time.Time
+	lastNoticeAt  time.Time
+	instanceID    string
+	instanceStart time.Time
 }
 
 // job is a request that waits or runs at the gate.
@@ -105,7 +113,7 @@
 		return err
 	}
 	opened := s.Scope.Counter("instance_connections_opened")
-	s.client = &backend.Client{Address: s.Instance, OnOpen: func() { opened.Inc(1) }}
+	s.client = &backend.Client{Address: s.Instance, OnOpen: func() { opened.Inc(1) }, Memory: s.Answers}
 	s.commands = ring.New[func(time.Time)](commandCapacity)
 	s.filter.Model = belief.DefaultModel
 	s.queue.Slots = defaultSlots
@@ -127,7 +135,7 @@
 		Interval: tick,
 		Handle:   func(now time.Time, f func(time.Time)) { f(now) },
 		Tick:     s.tick,
-		Idle:     func() bool { return s.queue.Waiting() == 0 },
+		Idle:     func() bool { return s.queue.Waiting() == 0 && (s.closeAt.IsZero() || s.leaving) },
 	}
 	return d.Run(ctx)
 }
@@ -139,23 +147,38 @@
 	}
 }
 
-// Leave implements kernel.Leaver. It announces the stop, so that other sidecars no
-// longer choose the instance.
+// Leave implements kernel.Leaver. The gate closes somewhat later, as the instance
+// goes on and no other process can reach it while this one is away.
 func (s *Service) Leave(ctx context.Context) error {
 	return s.commands.Put(ctx, func(now time.Time) {
-		s.leaving = true
-		for range leaveNoticeCount {
-			s.notices.Send(&wire.Notice{Condition: s.condition(now)}, s.publication.State().Peers)
-		}
+		s.closeAt = admission.CloseTime(now, now.Add(s.MinStopTime), s.queue.MeanRunTime())
+		s.Log.Info("The gate will close.", "instance", s.instanceID, "in", s.closeAt.Sub(now), "running", s.queue.Running(),
+			"waiting", s.queue.Waiting())
 	})
 }
 
+// closeIfDue closes the gate during a shutdown and announces it, so that other
+// sidecars no longer choose the instance.
+func (s *Service) closeIfDue(now time.Time) {
+	if s.leaving || s.closeAt.IsZero() || now.Before(s.closeAt) {
+		return
+	}
+	s.leaving = true
+	s.Log.Info("The gate is closed.", "instance", s.instanceID, "running", s.queue.Running(), "waiting", s.queue.Waiting())
+	for range leaveNoticeCount {
+		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, s.publication.State().Peers)
+	}
+}
+
 // Running returns the number of requests that run at the instance.
 func (s *Service) Running() int { return int(s.executing.Load()) }
 
-// tick starts waiting requests and refuses those that can no longer be served in
-// time.
-func (s *Service) tick(now time.Time) { s.startWaiting(now) }
+// tick closes the gate when that is due, starts waiting requests and refuses those
+// that can no longer be served in time.
+func (s *Service) tick(now time.Time) {
+	s.closeIfDue(now)
+	s.startWaiting(now)
+}
 
 // applyPublication applies the published entry of the instance. A new incarnation
 // of the instance resets the failure estimate.
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -134,6 +134,9 @@
 	answer, err := s.run(ctx, &backend.Request{Method: r.GetMethod(), Target: r.GetTarget(), Host: r.GetHost(),
 		Attempt: r.GetAttempt(), Header: header, Body: r.GetBody(), Idempotent: r.GetIdempotent()})
 	ended := time.Now()
+	if answer != nil {
+		defer s.Answers.Release(answer.Body)
+	}
 	reply := replyFor(answer, err)
 	e := s.evaluate(ctx, ended, answer, err)
 	if e.weight > 0 && !e.failed {
--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -132,6 +132,7 @@
 		go func() {
 			request, end := c.service.requestContext(ctx)
 			defer end()
+			defer c.service.Bodies.Release(body)
 			e.answer <- c.service.handle(request, head, body, received)
 		}()
 		if head.Close {
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -20,6 +20,7 @@
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/publication"
@@ -76,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Service{Listener: l, CallerService: "s", Scope: tally.NoopScope, Log: log.New(io.Discard)}
+	s := &Service{Listener: l, CallerService: "s", Bodies: &memory.Pool{}, Scope: tally.NoopScope, Log: log.New(io.Discard)}
 	ctx, cancel := context.WithCancel(t.Context())
 	k := &kernel.Kernel{Log: log.New(io.Discard), DrainTimeout: 5 * time.Second, Registrations: []kernel.Registration{
 		{Name: names.Publication, Service: f}, {Name: names.Relay, Service: f}, {Name: names.Gate, Service: f},
--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
 
@@ -185,23 +186,38 @@
 			return nil, err
 		}
 	}
-	if !chunked {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(c.reader, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("ingress: read body: %w", err)
+	var source io.Reader = c.reader
+	if chunked {
+		source = httputil.NewChunkedReader(c.reader)
+	} else {
+		source = io.LimitReader(c.reader, r.ContentLength)
 	}
-	if int64(len(body)) > limit {
+	body, err := c.service.Bodies.ReadAll(source, int(limit))
+	switch {
+	case memory.IsKind(err, memory.KindTooLarge):
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
+	case memory.IsKind(err, memory.KindExhausted):
+		return nil, &refusal{http.StatusServiceUnavailable, "not run: the memory for bodies is in use"}
+	case err != nil:
+		return nil, fmt.Errorf("ingress: %w", err)
+	case !chunked && int64(len(body)) < r.ContentLength:
+		c.service.Bodies.Release(body)
+		return nil, fmt.Errorf("ingress: read body: %w", io.ErrUnexpectedEOF)
+	}
+	if !chunked {
+		return body, nil
+	}
+	if err := c.skipTrailer(); err != nil {
+		c.service.Bodies.Release(body)
+		return nil, err
 	}
-	return body, c.skipTrailer()
+	return body, nil
 }
 
-// skipTrailer reads and discards the trailer after the last chunk.
+// skipTrailer reads and discards the trailer after the last chunk. It refuses a
+// trailer that is larger than the limit of a header.
 func (c *conn) skipTrailer() error {
+	left := c.service.limits().HeaderBytes
 	for {
 		line, err := c.reader.ReadSlice('\n')
 		if err != nil {
@@ -210,5 +226,8 @@
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
+		if left -= len(line); left < 0 {
+			return &refusal{http.StatusRequestHeaderFieldsTooLarge, "the trailer is too large"}
+		}
 	}
 }
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"cassiarack.example/lib/clock"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/publication"
@@ -31,10 +32,10 @@
 	// acceptDelay is the pause after a connection could not be accepted, for
 	// example for lack of file descriptors.
 	acceptDelay = 20 * time.Millisecond
-	// minDrainTime is the minimum duration of a shutdown. The platform stops
+	// MinDrainTime is the minimum duration of a shutdown. The platform stops
 	// sending clients here after two readiness checks, one second apart, that
 	// did not return 200.
-	minDrainTime = 2800 * time.Millisecond
+	MinDrainTime = 2800 * time.Millisecond
 	// drainPoll is how often a shutdown checks for requests in flight.
 	drainPoll = 50 * time.Millisecond
 	// abortMargin is how long before the end of a shutdown the requests in
@@ -79,8 +80,10 @@
 	Listener net.Listener
 	// CallerService is the name of the service of the instance on this VM.
 	CallerService string
-	Scope         tally.Scope
-	Log           *log.Logger
+	// Bodies is the pool for the bodies of requests.
+	Bodies *memory.Pool
+	Scope  tally.Scope
+	Log    *log.Logger
 
 	publication Publication
 	relay       Relay
@@ -93,7 +96,7 @@
 	// aborted is closed when the requests in flight are cancelled.
 	aborted chan struct{}
 	// abortAt is when the requests in flight will be cancelled, in Unix
-	// nanoseconds. It is zero until a shutdown has lasted for minDrainTime.
+	// nanoseconds. It is zero until a shutdown has lasted for MinDrainTime.
 	abortAt  atomic.Int64
 	inflight atomic.Int64
 
@@ -171,7 +174,7 @@
 	}
 	t := time.AfterFunc(time.Until(end)-abortMargin, s.abort)
 	defer t.Stop()
-	clock.Sleep(ctx, minDrainTime)
+	clock.Sleep(ctx, MinDrainTime)
 	s.abortAt.Store(end.Add(-abortMargin).UnixNano())
 	// The instance makes its calls through this sidecar until its requests are
 	// done.
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -35,10 +35,10 @@
 	loadValidity = 400 * time.Millisecond
 	// unreachableBackoff is how long a sidecar is avoided after it did not answer.
 	unreachableBackoff = 1500 * time.Millisecond
-	// leavingBackoff is how long a sidecar is avoided after it announced its stop.
-	// A sidecar restarts within a few seconds, and its first reply ends the backoff
-	// early.
-	leavingBackoff = 8 * time.Second
+	// leavingBackoff is how long a sidecar is avoided after its gate closed for a
+	// stop. It restarts about a second later, and its first notice ends the backoff
+	// early; a longer backoff would leave out its instance after a lost notice.
+	leavingBackoff = 3 * time.Second
 	// repeatBudgetShare is the fraction of the shared budget for repeats that the
 	// relay uses. The rest covers the calls that repeated requests make, which
 	// count as repeats too.
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -150,3 +150,29 @@
 		is.True(id != first) // the other instances are less likely to fail
 	}
 }
+
+// TestInstanceRefusesOnce guards against a second offer of a request to an instance
+// that refused it: a faulty instance could write its first refusal once more on the
+// kept connection while it runs the request, and the client would be told that the
+// request was not run.
+func TestInstanceRefusesOnce(t *testing.T) {
+	is := is.New(t)
+	refusing := ""
+	s, f := start(t, func(id string) (*wire.RunReply, error) {
+		if refusing == "" {
+			refusing = id
+		}
+		if id == refusing {
+			return reply(wire.RunOutcome_RUN_OUTCOME_REFUSED, 503, gate.ReasonInstance), nil
+		}
+		return reply(wire.RunOutcome_RUN_OUTCOME_REFUSED, 0, "full"), nil
+	})
+	is.Equal(s.Serve(t.Context(), request(false)).Status, http.StatusServiceUnavailable)
+	offers := 0
+	for _, id := range f.sent {
+		if id == refusing {
+			offers++
+		}
+	}
+	is.Equal(offers, 1)
+}
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -67,6 +67,10 @@
 	rejected   int
 	mayHaveRun bool
 	excluded   map[string]bool
+	// refusedBy holds the instances that refused the request themselves. They are
+	// never tried again: a faulty instance could write its first refusal once more
+	// while it runs the request.
+	refusedBy  []string
 	lastAnswer *message.Answer
 	// reason says why the last offer did not succeed.
 	reason string
@@ -156,6 +160,9 @@
 	}
 	p.offers = max(p.offers, maxOffers)
 	clear(p.excluded)
+	for _, id := range p.refusedBy {
+		p.excluded[id] = true
+	}
 	return true
 }
 
@@ -241,6 +248,7 @@
 			return reply.GetReason() != string(admission.ReasonExpired)
 		}
 		p.rejected++
+		p.refusedBy = append(p.refusedBy, pl.ID)
 		return p.rejected < maxRejected && s.requestRepeat(ctx, r)
 	default:
 		p.sent++
--- a/sidecar/reload.go
+++ b/sidecar/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -46,15 +44,6 @@
 	SetRepeatBudget(ratio, slack float64, window time.Duration)
 }
 
-// hangupSignals starts the delivery of SIGHUP to the channel that it returns.
-// The signal is caught during a shutdown too, since its default action would
-// end the process.
-func hangupSignals() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c
-}
-
 // Bind implements kernel.Service.
 func (r *reloader) Bind(dir *kernel.Directory) error {
 	r.current = r.Started
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"cassiarack.example/lib/hangup"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/link"
 	"cassiarack.example/lib/service/metrics"
@@ -24,6 +25,7 @@
 	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/ingress"
 	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/notice"
 	"cassiarack.example/sidecar/publication"
@@ -36,6 +38,12 @@
 	// collector begins to run more often. The rest is for stacks and for
 	// buffers of the operating system.
 	memoryLimitShare = 0.7
+	// bodyMemoryShare is the share of the memory limit for the bodies of requests
+	// in flight, and also for those of answers. A body is copied up to twice when
+	// it is passed on.
+	bodyMemoryShare = 0.15
+	// maxStoreHead bounds the header of a response of the store in bytes.
+	maxStoreHead = 64 << 10
 	// stopMargin is how long before SIGKILL the drain of the services ends.
 	stopMargin = 700 * time.Millisecond
 	// peerDialTimeout bounds the time to open a connection to another sidecar,
@@ -101,7 +109,7 @@
 	}
 	defer stopTracing()
 	services := append(registrations(s, l, j), kernel.Registration{Name: names.Settings,
-		Needs: []string{names.Journal, names.Relay}, Service: &reloader{Started: s, Read: read, Hangups: hangupSignals(), Log: logger}})
+		Needs: []string{names.Journal, names.Relay}, Service: &reloader{Started: s, Read: read, Hangups: hangup.Signals(), Log: logger}})
 	k := &kernel.Kernel{Registrations: services, Log: j.Logger("kernel"), DrainTimeout: s.StopTimeout - stopMargin}
 	logger.Info("Started.", "vm", s.Name, "service", s.Service, "callers", s.Callers, "fleet", s.Fleet,
 		"version", version)
@@ -109,6 +117,12 @@
 	return k.Run(ctx)
 }
 
+// bodyPool returns a pool for the bodies of requests or of answers. Without a
+// memory limit in the settings, the pool has none either.
+func bodyPool(s *settings.Settings) *memory.Pool {
+	return &memory.Pool{Limit: int64(bodyMemoryShare * float64(s.MemoryMegabytes) * (1 << 20))}
+}
+
 func setMemoryLimit(s *settings.Settings) {
 	if s.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMegabytes) * (1 << 20)))
@@ -153,13 +167,14 @@
 			Store: store, Self: s.Fleet.Addr(), DataCentre: s.DataCentre, Port: port, Random: random(), Scope: scope,
 			Log: j.Logger("publication")}},
 		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
-			Instance: s.Instance, Scope: scope, Log: j.Logger("gate")}},
+			Instance: s.Instance, Answers: bodyPool(s), MinStopTime: ingress.MinDrainTime, Scope: scope, Log: j.Logger("gate")}},
 		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Journal},
 			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
-			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Scope: scope, Log: j.Logger("ingress")}},
+			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: bodyPool(s), Scope: scope,
+				Log: j.Logger("ingress")}},
 		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
 			Ready: l.ready, Metrics: l.metrics, Log: j.Logger("admin")}},
 	}
@@ -176,5 +191,6 @@
 			return link.Dial(ctx, a)
 		},
 		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxStoreHead,
 	}}
 }
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -11,7 +11,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -54,7 +56,10 @@
 	storeProxy     *toxiproxy.Proxy
 	process        *exec.Cmd
 	// exited is closed when the process has exited.
-	exited chan struct{}
+	exited   chan struct{}
+	launched time.Time
+	// endExpected is set while the process may end: after a signal that ends it.
+	endExpected atomic.Bool
 	// lastFault is when the VM last had a fault, in Unix nanoseconds.
 	lastFault atomic.Int64
 }
@@ -81,6 +86,9 @@
 	toxiproxyServer *toxiproxy.ApiServer
 	version         int
 	routes          []route
+
+	endsMu sync.Mutex
+	ends   []string
 }
 
 // Start starts the stand-ins and all sidecars, and waits until the sidecars are
@@ -204,16 +212,31 @@
 	if err := v.process.Start(); err != nil {
 		return fmt.Errorf("start sidecar: %w", err)
 	}
-	v.exited = make(chan struct{})
+	v.exited, v.launched = make(chan struct{}), time.Now()
+	v.endExpected.Store(false)
 	go func(p *exec.Cmd, exited chan struct{}) {
-		// The error is ignored, as injected faults end sidecars in any way; their logs
-		// tell how.
-		_ = p.Wait()
+		if err := p.Wait(); !v.endExpected.Load() {
+			m.recordOwnEnd(v, err)
+		}
 		close(exited)
 	}(v.process, v.exited)
 	return nil
 }
 
+// recordOwnEnd records that the sidecar of a VM ended without a signal that ends it.
+func (m *Mesh) recordOwnEnd(v *VM, err error) {
+	m.endsMu.Lock()
+	defer m.endsMu.Unlock()
+	m.ends = append(m.ends, fmt.Sprintf("own end: the sidecar of VM %d ended by itself: %v", v.Index, err))
+}
+
+// OwnEnds returns a line for each sidecar that ended by itself.
+func (m *Mesh) OwnEnds() []string {
+	m.endsMu.Lock()
+	defer m.endsMu.Unlock()
+	return slices.Clone(m.ends)
+}
+
 // RecordFault records that the VM has a fault now.
 func (v *VM) RecordFault() { v.lastFault.Store(time.Now().UnixNano()) }
 
@@ -221,6 +244,9 @@
 // error if the sidecar has exited.
 func (v *VM) Signal(s syscall.Signal) error {
 	v.RecordFault()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		v.endExpected.Store(true)
+	}
 	err := v.process.Process.Signal(s)
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
--- a/standin/mesh/soak.go
+++ b/standin/mesh/soak.go
@@ -22,6 +22,10 @@
 	maxRecoveryTime = 15 * time.Second
 	// faultTimeRange determines how long a fault lasts: 0.1 to 1.1 times this value.
 	faultTimeRange = 3 * time.Second
+	// startTime is the time after its launch in which SIGHUP may end a sidecar, as
+	// no program can catch a signal before it is loaded. With the race detector
+	// that takes 10 ms of processor time.
+	startTime = 300 * time.Millisecond
 )
 
 // Soak injects faults for the given length of time while clients send requests. It
@@ -45,6 +49,7 @@
 	s.checkRecovery(ctx)
 	stopClients()
 	clients.Wait()
+	s.violations = append(s.violations, m.OwnEnds()...)
 	return o, append(s.violations, m.CheckExecutions(o)...)
 }
 
@@ -139,13 +144,30 @@
 }
 
 // hangup sends SIGHUP to the sidecar of a VM, unless another fault holds the process
-// lock. The sidecar may still be starting.
+// lock. A sidecar that is still being loaded may end; it is then started again, as
+// the platform does.
 func (s *soak) hangup(v *VM, _ time.Duration) {
 	s.log("SIGHUP to the sidecar of VM %d", v.Index)
-	if s.processLocks[v].TryLock() {
+	if !s.processLocks[v].TryLock() {
+		return
+	}
+	loading := time.Since(v.launched) < startTime
+	if !loading {
 		defer s.processLocks[v].Unlock()
 		s.signal(v, syscall.SIGHUP)
+		return
 	}
+	s.repairs.Go(func() {
+		defer s.processLocks[v].Unlock()
+		v.endExpected.Store(true)
+		s.signal(v, syscall.SIGHUP)
+		select {
+		case <-v.exited:
+			s.restart(v)
+		case <-time.After(startTime):
+			v.endExpected.Store(false)
+		}
+	})
 }
 
 func (s *soak) instanceFault(v *VM, d time.Duration) {
