--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,6 +78,22 @@
 	return r.attempts[attempt]
 }
 
+// times returns the times of all executions at an instance, in order.
+func (r *Runs) times(instance string) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []time.Time
+	for _, runs := range r.attempts {
+		for _, e := range runs {
+			if e.instance == instance {
+				out = append(out, e.at)
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
 // Instance is a stand-in for an application instance.
 type Instance struct {
 	ID, Service string
