Let two nodes of each data centre pass notices on

Cause: each change of a belief, each start and each closing gate was sent to all VMs, 188 datagrams between data centres at 235 VMs in 5. Bytes between data centres are dear, and each node sent as many datagrams as there are VMs.

Change: a notice goes to the VMs of its own data centre and to two of each other one, which pass it on (lib/decision/spread): 8 datagrams between data centres at that size.

--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/decision/belief"
 	"cassiarack.example/lib/decision/placement"
+	"cassiarack.example/lib/decision/spread"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service/peers"
@@ -56,8 +58,10 @@
 	// MinStopTime is the shortest time from the start of a shutdown to the end of
 	// the process. The gate admits requests for most of it.
 	MinStopTime time.Duration
-	Scope       tally.Scope
-	Log         *log.Logger
+	// Random is the random source of the goroutine of Run.
+	Random *rand.Rand
+	Scope  tally.Scope
+	Log    *log.Logger
 
 	publication *publication.Service
 	notices     *notice.Service
@@ -169,7 +173,7 @@
 	s.leaving = true
 	s.Log.Info("The gate is closed.", "instance", s.instanceID, "running", s.queue.Running(), "waiting", s.queue.Waiting())
 	for range leaveNoticeCount {
-		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, s.publication.State().Peers)
+		s.notifyAll(now)
 	}
 }
 
@@ -197,7 +201,7 @@
 		s.instanceID, s.instanceStart = id, i.StartedAt
 		s.filter = belief.Filter{Model: belief.DefaultModel}
 		s.Log.Info("The instance is known.", "instance", id, "slots", i.Slots, "draining", i.Draining)
-		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, s.publication.State().Peers)
+		s.notifyAll(now)
 		return
 	}
 }
@@ -332,7 +336,7 @@
 	case doubtful != s.announcedDoubtful:
 		s.Log.Info("The belief about the instance changed.", "instance", s.instanceID, "doubtful", doubtful,
 			"failing", s.filter.FailingProbability(now), "running", s.queue.Running(), "waiting", s.queue.Waiting())
-		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, state.Peers)
+		s.notifyAll(now)
 	case full != s.announcedFull && now.Sub(s.lastNoticeAt) >= loadNoticeInterval:
 		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, state.DataCentrePeers)
 	default:
@@ -341,6 +345,13 @@
 	s.announcedDoubtful, s.announcedFull, s.lastNoticeAt = doubtful, full, now
 }
 
+// notifyAll sends the condition of the instance to all sidecars.
+func (s *Service) notifyAll(now time.Time) {
+	state := s.publication.State()
+	s.notices.Spread(&wire.Notice{Condition: s.condition(now)}, state.DataCentrePeers,
+		spread.Forwarders(s.Random, state.RemotePeers))
+}
+
 // condition returns the load and the failure estimate of the instance, under the
 // next sequence number.
 func (s *Service) condition(now time.Time) *wire.Condition {
--- a/sidecar/notice/notice.go
+++ b/sidecar/notice/notice.go
@@ -47,10 +47,29 @@
 // Bind methods of other services.
 func (s *Service) Handle(h Handler) { s.handlers = append(s.handlers, h) }
 
-// Send sends a notice to each address. It sets the incarnation of n. Errors are only
-// counted, because a datagram may also be lost on its way.
+// Send sends a notice to each address. It sets the incarnation of n.
 func (s *Service) Send(n *wire.Notice, to []netip.Addr) {
 	n.Incarnation = s.Incarnation
+	s.transmit(n, to)
+}
+
+// Spread sends a notice to near, and to forwarders in other data centres, which pass
+// it on to their neighbours. It sets the incarnation of n.
+func (s *Service) Spread(n *wire.Notice, near, forwarders []netip.Addr) {
+	s.Send(n, near)
+	n.Forward = true
+	s.transmit(n, forwarders)
+}
+
+// Forward passes a received notice on to the addresses to, under the incarnation
+// that it came with.
+func (s *Service) Forward(n *wire.Notice, to []netip.Addr) {
+	s.transmit(&wire.Notice{Incarnation: n.GetIncarnation(), Announcement: n.GetAnnouncement(), Condition: n.GetCondition()}, to)
+}
+
+// transmit sends a notice to each address. Errors are only counted, because a
+// datagram may also be lost on its way.
+func (s *Service) transmit(n *wire.Notice, to []netip.Addr) {
 	text, err := proto.Marshal(n)
 	if err != nil {
 		s.Log.Error("A notice cannot be encoded.", "err", err)
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -70,6 +71,8 @@
 	// DataCentrePeers are the addresses of the other VMs in the same data
 	// centre.
 	DataCentrePeers []netip.Addr
+	// RemotePeers are the addresses of the VMs of each other data centre.
+	RemotePeers [][]netip.Addr
 }
 
 // Service keeps the published state up to date.
@@ -117,6 +120,7 @@
 	s.commands = ring.New[func(time.Time)](commandCapacity)
 	s.state.Store(&State{})
 	s.notices.Handle(s.handleAnnouncement)
+	s.notices.Handle(s.forward)
 	return wire.DRPCRegisterPublication(s.peers.Mux(), s)
 }
 
@@ -260,6 +264,7 @@
 	st := &State{Table: s.config.table, Services: make(map[string][]roster.Instance),
 		Instances: make(map[string]roster.Instance), ReadAt: s.roster.ReadAt()}
 	s.dataCentrePeers, s.remotePeers = nil, nil
+	remote := make(map[string][]netip.Addr)
 	for _, i := range s.roster.Instances() {
 		st.Services[i.Service] = append(st.Services[i.Service], i)
 		st.Instances[i.ID] = i
@@ -272,9 +277,10 @@
 			s.dataCentrePeers = append(s.dataCentrePeers, a)
 		} else {
 			s.remotePeers = append(s.remotePeers, a)
+			remote[i.DataCentre] = append(remote[i.DataCentre], a)
 		}
 	}
-	st.DataCentrePeers = s.dataCentrePeers
+	st.DataCentrePeers, st.RemotePeers = s.dataCentrePeers, slices.Collect(maps.Values(remote))
 	s.state.Store(st)
 	for _, f := range s.watchers {
 		f()
@@ -291,6 +297,14 @@
 	}}, s.dataCentrePeers)
 }
 
+// forward passes a notice of another data centre on to the sidecars of this one, if
+// it asks for that. Notices carry no announcement across data centres.
+func (s *Service) forward(_ time.Time, _ netip.Addr, n *wire.Notice) {
+	if n.GetForward() {
+		s.notices.Forward(n, s.State().DataCentrePeers)
+	}
+}
+
 // handleAnnouncement handles an announcement from another sidecar. It fetches
 // the state of that sidecar if it is newer, and confirms its own state if both
 // are equal.
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -167,7 +167,8 @@
 			Store: store, Self: s.Fleet.Addr(), DataCentre: s.DataCentre, Port: port, Random: random(), Scope: scope,
 			Log: j.Logger("publication")}},
 		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
-			Instance: s.Instance, Answers: bodyPool(s), MinStopTime: ingress.MinDrainTime, Scope: scope, Log: j.Logger("gate")}},
+			Instance: s.Instance, Answers: bodyPool(s), MinStopTime: ingress.MinDrainTime, Random: random(),
+			Scope: scope, Log: j.Logger("gate")}},
 		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Journal},
 			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
