--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -20,12 +21,14 @@
 	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/decision/belief"
 	"cassiarack.example/lib/decision/placement"
+	"cassiarack.example/lib/decision/spread"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
 	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/notice"
 	"cassiarack.example/sidecar/publication"
@@ -50,8 +53,15 @@
 type Service struct {
 	// Instance is the address of the instance.
 	Instance netip.AddrPort
-	Scope    tally.Scope
-	Log      *log.Logger
+	// Answers is the pool for the bodies of the instance's answers.
+	Answers *memory.Pool
+	// MinStopTime is the shortest time from the start of a shutdown to the end of
+	// the process. The gate admits requests for most of it.
+	MinStopTime time.Duration
+	// Random is the random source of the goroutine of Run.
+	Random *rand.Rand
+	Scope  tally.Scope
+	Log    *log.Logger
 
 	publication *publication.Service
 	notices     *notice.Service
@@ -60,6 +70,8 @@
 
 	commands  *ring.Ring[func(now time.Time)]
 	executing atomic.Int64
+	// stopped is closed when Run has returned and no command is handled any more.
+	stopped chan struct{}
 
 	// Only the goroutine of Run uses the fields below.
 	queue             admission.Queue[*job]
@@ -71,9 +83,11 @@
 	announcedDoubtful bool
 	announcedFull     bool
 	leaving           bool
-	lastNoticeAt      time.Time
-	instanceID        string
-	instanceStart     time.Time
+	// closeAt is when the gate closes during a shutdown. It is zero before one.
+	closeAt       time.Time
+	lastNoticeAt  time.Time
+	instanceID    string
+	instanceStart time.Time
 }
 
 // job is a request that waits or runs at the gate.
@@ -105,8 +119,8 @@
 		return err
 	}
 	opened := s.Scope.Counter("instance_connections_opened")
-	s.client = &backend.Client{Address: s.Instance, OnOpen: func() { opened.Inc(1) }}
-	s.commands = ring.New[func(time.Time)](commandCapacity)
+	s.client = &backend.Client{Address: s.Instance, OnOpen: func() { opened.Inc(1) }, Memory: s.Answers}
+	s.commands, s.stopped = ring.New[func(time.Time)](commandCapacity), make(chan struct{})
 	s.filter.Model = belief.DefaultModel
 	s.queue.Slots = defaultSlots
 	s.publication.Watch(func() {
@@ -121,13 +135,14 @@
 
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
+	defer close(s.stopped)
 	go s.expireIdle(ctx)
 	d := ring.Duty[func(time.Time)]{
 		Ring:     s.commands,
 		Interval: tick,
 		Handle:   func(now time.Time, f func(time.Time)) { f(now) },
 		Tick:     s.tick,
-		Idle:     func() bool { return s.queue.Waiting() == 0 },
+		Idle:     func() bool { return s.queue.Waiting() == 0 && (s.closeAt.IsZero() || s.leaving) },
 	}
 	return d.Run(ctx)
 }
@@ -139,23 +154,38 @@
 	}
 }
 
-// Leave implements kernel.Leaver. It announces the stop, so that other sidecars no
-// longer choose the instance.
+// Leave implements kernel.Leaver. The gate closes somewhat later, as the instance
+// goes on and no other process can reach it while this one is away.
 func (s *Service) Leave(ctx context.Context) error {
 	return s.commands.Put(ctx, func(now time.Time) {
-		s.leaving = true
-		for range leaveNoticeCount {
-			s.notices.Send(&wire.Notice{Condition: s.condition(now)}, s.publication.State().Peers)
-		}
+		s.closeAt = admission.CloseTime(now, now.Add(s.MinStopTime), s.queue.MeanRunTime())
+		s.Log.Info("The gate will close.", "instance", s.instanceID, "in", s.closeAt.Sub(now), "running", s.queue.Running(),
+			"waiting", s.queue.Waiting())
 	})
 }
 
+// closeIfDue closes the gate during a shutdown and announces it, so that other
+// sidecars no longer choose the instance.
+func (s *Service) closeIfDue(now time.Time) {
+	if s.leaving || s.closeAt.IsZero() || now.Before(s.closeAt) {
+		return
+	}
+	s.leaving = true
+	s.Log.Info("The gate is closed.", "instance", s.instanceID, "running", s.queue.Running(), "waiting", s.queue.Waiting())
+	for range leaveNoticeCount {
+		s.notifyAll(now)
+	}
+}
+
 // Running returns the number of requests that run at the instance.
 func (s *Service) Running() int { return int(s.executing.Load()) }
 
-// tick starts waiting requests and refuses those that can no longer be served in
-// time.
-func (s *Service) tick(now time.Time) { s.startWaiting(now) }
+// tick closes the gate when that is due, starts waiting requests and refuses those
+// that can no longer be served in time.
+func (s *Service) tick(now time.Time) {
+	s.closeIfDue(now)
+	s.startWaiting(now)
+}
 
 // applyPublication applies the published entry of the instance. A new incarnation
 // of the instance resets the failure estimate.
@@ -171,7 +201,7 @@
 		s.instanceID, s.instanceStart = id, i.StartedAt
 		s.filter = belief.Filter{Model: belief.DefaultModel}
 		s.Log.Info("The instance is known.", "instance", id, "slots", i.Slots, "draining", i.Draining)
-		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, s.publication.State().Peers)
+		s.notifyAll(now)
 		return
 	}
 }
@@ -306,7 +336,7 @@
 	case doubtful != s.announcedDoubtful:
 		s.Log.Info("The belief about the instance changed.", "instance", s.instanceID, "doubtful", doubtful,
 			"failing", s.filter.FailingProbability(now), "running", s.queue.Running(), "waiting", s.queue.Waiting())
-		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, state.Peers)
+		s.notifyAll(now)
 	case full != s.announcedFull && now.Sub(s.lastNoticeAt) >= loadNoticeInterval:
 		s.notices.Send(&wire.Notice{Condition: s.condition(now)}, state.DataCentrePeers)
 	default:
@@ -315,6 +345,13 @@
 	s.announcedDoubtful, s.announcedFull, s.lastNoticeAt = doubtful, full, now
 }
 
+// notifyAll sends the condition of the instance to all sidecars.
+func (s *Service) notifyAll(now time.Time) {
+	state := s.publication.State()
+	s.notices.Spread(&wire.Notice{Condition: s.condition(now)}, state.DataCentrePeers,
+		spread.Forwarders(s.Random, state.RemotePeers))
+}
+
 // condition returns the load and the failure estimate of the instance, under the
 // next sequence number.
 func (s *Service) condition(now time.Time) *wire.Condition {
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -69,6 +71,8 @@
 	// DataCentrePeers are the addresses of the other VMs in the same data
 	// centre.
 	DataCentrePeers []netip.Addr
+	// RemotePeers are the addresses of the VMs of each other data centre.
+	RemotePeers [][]netip.Addr
 }
 
 // Service keeps the published state up to date.
@@ -100,6 +104,8 @@
 	dataCentrePeers []netip.Addr
 	remotePeers     []netip.Addr
 	storeFailing    bool
+	// lastInvalid describes the entries that were last logged as left out.
+	lastInvalid string
 }
 
 // Bind implements kernel.Service.
@@ -114,6 +120,7 @@
 	s.commands = ring.New[func(time.Time)](commandCapacity)
 	s.state.Store(&State{})
 	s.notices.Handle(s.handleAnnouncement)
+	s.notices.Handle(s.forward)
 	return wire.DRPCRegisterPublication(s.peers.Mux(), s)
 }
 
@@ -186,10 +193,7 @@
 			if err != nil {
 				return
 			}
-			for _, e := range p.Invalid {
-				s.Scope.Counter("invalid_entries").Inc(1)
-				s.Log.Debug("An entry names no instance.", "err", e)
-			}
+			s.recordInvalid(p.Invalid, "store")
 			s.applyConfig(p.Config, "store")
 			s.applyChanges(s.roster.Replace(done, now, p.Instances), "store")
 			s.announce(done)
@@ -197,6 +201,25 @@
 	}()
 }
 
+// maxInvalidLogged bounds the entries that are named when the set of those left
+// out has changed.
+const maxInvalidLogged = 5
+
+// recordInvalid counts the entries that are left out of the list of instances, and
+// logs them when they are others than at the last time.
+func (s *Service) recordInvalid(invalid []error, source string) {
+	if len(invalid) == 0 {
+		return
+	}
+	s.Scope.Counter("invalid_entries").Inc(int64(len(invalid)))
+	text := fmt.Sprint(invalid[:min(len(invalid), maxInvalidLogged)])
+	if text == s.lastInvalid {
+		return
+	}
+	s.lastInvalid = text
+	s.Log.Warn("Entries that name no instance are left out.", "entries", len(invalid), "source", source, "first", text)
+}
+
 // logStoreState logs when reads of the store begin to fail and when they
 // succeed again.
 func (s *Service) logStoreState(now time.Time, err error) {
@@ -241,6 +264,7 @@
 	st := &State{Table: s.config.table, Services: make(map[string][]roster.Instance),
 		Instances: make(map[string]roster.Instance), ReadAt: s.roster.ReadAt()}
 	s.dataCentrePeers, s.remotePeers = nil, nil
+	remote := make(map[string][]netip.Addr)
 	for _, i := range s.roster.Instances() {
 		st.Services[i.Service] = append(st.Services[i.Service], i)
 		st.Instances[i.ID] = i
@@ -253,9 +277,10 @@
 			s.dataCentrePeers = append(s.dataCentrePeers, a)
 		} else {
 			s.remotePeers = append(s.remotePeers, a)
+			remote[i.DataCentre] = append(remote[i.DataCentre], a)
 		}
 	}
-	st.DataCentrePeers = s.dataCentrePeers
+	st.DataCentrePeers, st.RemotePeers = s.dataCentrePeers, slices.Collect(maps.Values(remote))
 	s.state.Store(st)
 	for _, f := range s.watchers {
 		f()
@@ -272,6 +297,14 @@
 	}}, s.dataCentrePeers)
 }
 
+// forward passes a notice of another data centre on to the sidecars of this one, if
+// it asks for that. Notices carry no announcement across data centres.
+func (s *Service) forward(_ time.Time, _ netip.Addr, n *wire.Notice) {
+	if n.GetForward() {
+		s.notices.Forward(n, s.State().DataCentrePeers)
+	}
+}
+
 // handleAnnouncement handles an announcement from another sidecar. It fetches
 // the state of that sidecar if it is newer, and confirms its own state if both
 // are equal.
