--- a/sidecar/journal/journal.go
+++ b/sidecar/journal/journal.go
@@ -120,6 +120,7 @@
 		line, err := s.lines.Take(ctx)
 		if err != nil {
 			s.flush()
+			own.Info("Stopped.")
 			return nil
 		}
 		// A failure to write a log line cannot be logged.
