--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -269,3 +269,30 @@
 	f.running.Store(0)
 	is.Equal(statusOf(short), 503) // the instance runs nothing, so this is not its call
 }
+
+// TestBodyMemory guards against requests whose bodies together exceed the memory of
+// the process, and against a trailer without end. The client is told that such a
+// request was not run, and the memory is free again afterwards.
+func TestBodyMemory(t *testing.T) {
+	is := is.New(t)
+	s, f, address, _ := startIngress(t)
+	s.Bodies.Limit = 8 << 10
+	status := func(text string) int {
+		t.Helper()
+		c := dial(t, address)
+		_, err := io.WriteString(c, text)
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		return resp.StatusCode
+	}
+	post := "POST /a/x%s HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n\r\nabc"
+	chunked := "POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+	is.Equal(status(fmt.Sprintf(post, "")), http.StatusOK)
+	is.Equal(status(chunked+strings.Repeat("T: 1\r\n", 100)), http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(s.Bodies.Used(), int64(0))
+	s.Bodies.Limit = 1
+	is.Equal(status(fmt.Sprintf(post, "")), http.StatusServiceUnavailable)
+	is.Equal(s.Bodies.Used(), int64(0))
+	is.Equal(len(f.requests), 1) // the refused requests were not forwarded
+}
--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -186,11 +186,9 @@
 			return nil, err
 		}
 	}
-	var source io.Reader = c.reader
+	source := io.LimitReader(c.reader, r.ContentLength)
 	if chunked {
 		source = httputil.NewChunkedReader(c.reader)
-	} else {
-		source = io.LimitReader(c.reader, r.ContentLength)
 	}
 	body, err := c.service.Bodies.ReadAll(source, int(limit))
 	switch {
