Give no slack for repeats to a process that has just started

Both have a rolling restart.

Cause: each new process began with its whole part of the slack, although the one before it had used the same part in the same window. Six restarts of 21 fall into a window of 10 s.

Change: a process has no slack in its first window. TestWindowBudgetRestarts fails without it.

--- a/lib/decision/retry/window.go
+++ b/lib/decision/retry/window.go
@@ -10,6 +10,9 @@
 type WindowBudget struct {
 	Length time.Duration
 	Ratio  float64
+	// Started is when the process started. It has no slack for Length from then
+	// on, as an earlier process of the node may have used it in the same span.
+	Started time.Time
 
 	repeats  []time.Time
 	requests []time.Time
@@ -25,6 +28,9 @@
 func (w *WindowBudget) Remaining(now time.Time, slack float64) float64 {
 	start := now.Add(-w.Length)
 	w.repeats, w.requests = dropBefore(w.repeats, start), dropBefore(w.requests, start)
+	if w.Started.After(start) {
+		slack = 0
+	}
 	return w.Ratio*float64(len(w.requests)) + slack - float64(len(w.repeats))
 }
 
--- a/lib/decision/retry/window_test.go
+++ b/lib/decision/retry/window_test.go
@@ -51,3 +51,43 @@
 	is.Equal(w.Remaining(now, 2), 1.0)
 	is.Equal(w.Remaining(now.Add(2*time.Second), 2), 2.0)
 }
+
+// TestWindowBudgetRestarts guards against repeats above the budget in a rolling
+// restart: each new process knows nothing of the repeats of the one before it. With
+// the slack from the start on, the budget was exceeded within the first windows.
+func TestWindowBudgetRestarts(t *testing.T) {
+	is := is.New(t)
+	const (
+		nodes   = 21
+		ratio   = 0.2
+		slack   = 56.0
+		length  = 10 * time.Second
+		restart = 500 * time.Millisecond
+	)
+	rng := rand.New(rand.NewPCG(5, 6))
+	windows := make([]WindowBudget, nodes)
+	for i := range windows {
+		windows[i] = WindowBudget{Length: length, Ratio: ratio}
+	}
+	all := WindowBudget{Length: length}
+	now := time.Unix(0, 0)
+	next, restarted, allowed := now.Add(2*length), 0, 0
+	for range 5000 {
+		now = now.Add(time.Duration(rng.Int64N(int64(40 * time.Millisecond))))
+		if now.After(next) {
+			windows[restarted%nodes] = WindowBudget{Length: length, Ratio: ratio, Started: now}
+			next, restarted = now.Add(restart), restarted+1
+		}
+		w := &windows[rng.IntN(nodes)]
+		w.RecordRequest(now)
+		all.RecordRequest(now)
+		// Each request asks for repeats, as when most instances fail.
+		for w.Allow(now, slack/nodes, 0) {
+			all.repeats = append(all.repeats, now)
+			allowed++
+		}
+		all.repeats = dropBefore(all.repeats, now.Add(-length))
+		is.True(float64(len(all.repeats)) <= ratio*float64(len(all.requests))+slack)
+	}
+	is.True(restarted > 2*nodes && allowed > 0)
+}
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -104,6 +104,8 @@
 
 	commands         *ring.Ring[func(now time.Time)]
 	requestDurations tally.Histogram
+	// started is when the process started.
+	started time.Time
 
 	// Only the goroutine of Run uses the fields below.
 	instances map[string]*instanceState
@@ -147,7 +149,7 @@
 		return err
 	}
 	n.Handle(s.handleNotice)
-	s.commands = ring.New[func(time.Time)](commandCapacity)
+	s.commands, s.started = ring.New[func(time.Time)](commandCapacity), time.Now()
 	// The buckets reach from 1 ms to 16 s, the longest deadline of clients.
 	s.requestDurations = s.Scope.Histogram("request_duration", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15))
 	s.instances = make(map[string]*instanceState)
@@ -284,7 +286,7 @@
 func (s *Service) budget(service string) *retry.WindowBudget {
 	b := s.budgets[service]
 	if b == nil {
-		b = &retry.WindowBudget{}
+		b = &retry.WindowBudget{Started: s.started}
 		s.budgets[service] = b
 	}
 	b.Length, b.Ratio = s.RepeatWindow, s.RepeatRatio*repeatBudgetShare
