--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,7 +22,9 @@
 	// program is the path of the sidecar, folder that of settings and logs.
 	program, folder string
 	// net is the second byte of the loopback addresses of this run.
-	net      int
+	net int
+	// port is the first port of this run.
+	port     int
 	store    *store
 	vms      []*vm
 	record   *record
@@ -43,14 +46,15 @@
 	expected bool
 }
 
-// Ports of each machine.
+// Ports of each machine, counted from fleet.port. The store has its own address.
 const (
-	portInstance = 8129
-	portCallers  = 8125
-	portReady    = 8126
-	portFleet    = 7600
-	portMetrics  = 7615
-	portStore    = 8127
+	portInstance = iota
+	portCallers
+	portReady
+	portFleet
+	portMetrics
+	portStore
+	portCount
 )
 
 // record is the file record.txt of a case.
@@ -66,12 +70,16 @@
 	fmt.Fprintf(r.out, "%9.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// newFleet returns a fleet on loopback addresses that no other process uses.
+// newFleet returns a fleet on loopback addresses and ports that no other process
+// uses.
 func newFleet(program string, r *record) (*fleet, error) {
 	f := &fleet{program: program, record: r, store: newStore(), version: 6}
-	for n := 0; n < 200; n++ {
-		f.net = 20 + (os.Getpid()+n*7)%200
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.250:%d", f.net, portStore))
+	for range 100 {
+		f.net, f.port = 20+rand.IntN(200), 10_000+rand.IntN(15_000)
+		if !f.isFree() {
+			continue
+		}
+		l, err := net.Listen("tcp", f.storeAddr())
 		if err != nil {
 			continue
 		}
@@ -79,14 +87,29 @@
 		f.folder, err = os.MkdirTemp("", "review")
 		return f, err
 	}
-	return nil, fmt.Errorf("no free loopback network")
+	return nil, fmt.Errorf("no free loopback addresses and ports")
+}
+
+// isFree reports whether all ports of the run are free, also from processes that
+// listen on all addresses.
+func (f *fleet) isFree() bool {
+	for n := range portCount {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", f.net, f.port+n))
+		if err != nil {
+			return false
+		}
+		l.Close()
+	}
+	return true
 }
 
+func (f *fleet) storeAddr() string { return fmt.Sprintf("127.%d.0.250:%d", f.net, f.port+portStore) }
+
 // add adds a machine with an instance of a service and registers the instance.
 func (f *fleet) add(service, zone string, i *instance) (*vm, error) {
 	v := &vm{n: len(f.vms) + 1, zone: zone, born: time.Now().Add(-time.Minute)}
 	v.ip = fmt.Sprintf("127.%d.0.%d", f.net, v.n)
-	i.id, i.service, i.zone, i.address = fmt.Sprintf("i-%08x", 0x7f3a9100+v.n), service, zone, fmt.Sprintf("%s:%d", v.ip, portInstance)
+	i.id, i.service, i.zone, i.address = fmt.Sprintf("i-%08x", 0x7f3a9100+v.n), service, zone, f.addr(v, portInstance)
 	v.instance = i
 	if err := v.instance.start(); err != nil {
 		return nil, err
@@ -137,7 +160,7 @@
 	settings, err := json.Marshal(map[string]any{"name": fmt.Sprintf("sidecar-%s-%d", v.zone, v.n), "dataCentre": v.zone,
 		"service": v.instance.service, "instance": v.instance.address, "callers": f.addr(v, portCallers),
 		"ready": f.addr(v, portReady), "fleet": f.addr(v, portFleet), "metrics": f.addr(v, portMetrics),
-		"store": fmt.Sprintf("127.%d.0.250:%d", f.net, portStore), "memoryMegabytes": memoryMegabytes, "stopTimeout": "6s",
+		"store": f.storeAddr(), "memoryMegabytes": memoryMegabytes, "stopTimeout": "6s",
 		"repeatRatio": 0.2, "repeatSlack": 64, "repeatWindow": "10s"})
 	if err != nil {
 		return err
@@ -178,7 +201,7 @@
 // memoryMegabytes is memory_mb of the small deployments.
 const memoryMegabytes = 284
 
-func (f *fleet) addr(v *vm, port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
+func (f *fleet) addr(v *vm, port int) string { return fmt.Sprintf("%s:%d", v.ip, f.port+port) }
 
 // start starts all sidecars and waits until they are ready.
 func (f *fleet) start() error {
