Keep entries of unnamed services from replacing instances

Cause: the roster kept one entry for each address, the one that started last, before anything checked that a configuration names its service. The entry of another writer hid that of the live instance from the relay, from the gate and from the list that sidecars send each other. Evidence: logs of the case; vm7 has "An instance changed. instance=i- removed=true" though the store holds the entry, the gate of vm1 "The instance is known. instance=agent-0".

Ruled out: beliefs (no gate doubted its instance); the gate's choice by address (it sees only the published list); late lists (all sidecars had the new one within 0.2 s).

Change: roster.Select leaves out the entries whose service the configuration does not name, then compares addresses. Sidecars exchange all entries, as they may know different configurations. The same list gives the addresses of the VMs: such entries no longer count for ranks, notices and the budget. Entries that are not used are logged and counted.

--- a/lib/decision/roster/roster.go
+++ b/lib/decision/roster/roster.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -143,23 +144,61 @@
 // zero time if there is none.
 func (r *Roster) ReadAt() time.Time { return r.readAt }
 
-// Instances returns the instances ordered by ID. Of several entries with the
-// same address it returns only the one that started last: after a power loss
-// the entries from before it stay until they expire, although their instances
-// are gone.
-func (r *Roster) Instances() []Instance {
+// Entries returns all entries ordered by ID, including those that Select does not
+// count as instances. Nodes exchange all entries, as they may know different
+// configurations.
+func (r *Roster) Entries() []Instance {
+	list := slices.Collect(maps.Values(r.instances))
+	sortByID(list)
+	return list
+}
+
+// Selection divides the entries of a roster into the instances that may be used and
+// the other entries. All lists are ordered by ID.
+type Selection struct {
+	Instances []Instance
+	// Unnamed holds the entries of services that no configuration names.
+	Unnamed []Instance
+	// Superseded holds the entries whose address an instance that started later
+	// has taken over.
+	Superseded []Instance
+}
+
+// Select returns the instances of the services that isNamed accepts. An entry of
+// another service comes from another writer and must not affect an instance,
+// even if it holds the address of one.
+//
+// Of several entries of named services with the same address, the one that
+// started last is the instance: after a power loss the entries from before it
+// stay until they expire, although their instances are gone.
+func (r *Roster) Select(isNamed func(service string) bool) Selection {
+	var s Selection
 	byAddress := make(map[netip.AddrPort]Instance, len(r.instances))
 	for _, i := range r.instances {
-		if h, ok := byAddress[i.Address]; !ok || i.supersedes(h) {
+		if !isNamed(i.Service) {
+			s.Unnamed = append(s.Unnamed, i)
+			continue
+		}
+		h, ok := byAddress[i.Address]
+		switch {
+		case !ok:
+			byAddress[i.Address] = i
+		case i.supersedes(h):
 			byAddress[i.Address] = i
+			s.Superseded = append(s.Superseded, h)
+		default:
+			s.Superseded = append(s.Superseded, i)
 		}
 	}
-	list := make([]Instance, 0, len(byAddress))
-	for _, i := range byAddress {
-		list = append(list, i)
+	s.Instances = slices.Collect(maps.Values(byAddress))
+	for _, list := range [][]Instance{s.Instances, s.Unnamed, s.Superseded} {
+		sortByID(list)
 	}
+	return s
+}
+
+func sortByID(list []Instance) {
 	slices.SortFunc(list, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return list
 }
 
 // supersedes reports whether i, rather than j, is the instance at an address
@@ -172,10 +211,10 @@
 	return cmp.Or(cmp.Compare(i.Revision, j.Revision), cmp.Compare(i.ID, j.ID)) > 0
 }
 
-// Digest returns a hash of the instances without their revisions.
+// Digest returns a hash of all entries without their revisions.
 func (r *Roster) Digest() uint64 {
 	h := xxhash.New()
-	for _, i := range r.Instances() {
+	for _, i := range r.Entries() {
 		_, _ = fmt.Fprintf(h, "%q %d %q %v %q %d %t %t\n", i.ID, i.StartedAt.UnixMilli(), i.Service, i.Address,
 			i.DataCentre, i.Slots, i.Draining, i.Cold)
 	}
--- a/lib/decision/roster/roster_test.go
+++ b/lib/decision/roster/roster_test.go
@@ -54,7 +54,7 @@
 		readAt := start.Add(s.at)
 		changes := r.Replace(readAt.Add(10*time.Millisecond), readAt, s.list)
 		fmt.Fprintf(&b, "%s: %s\n", s.name, render(changes))
-		for _, i := range r.Instances() {
+		for _, i := range r.Select(anyService).Instances {
 			fmt.Fprintf(&b, "  %s draining %t started %v\n", i.ID, i.Draining, i.StartedAt.Sub(start))
 		}
 	}
@@ -89,12 +89,44 @@
 	r.Replace(start, start, []Instance{entry("1", at("10.0.0.9:80")), entry("2", at("10.0.0.9:80"), restarted),
 		entry("3", at("10.0.0.8:80"), heartbeat), entry("4", at("10.0.0.8:80")), entry("5", at("10.0.0.8:81"))})
 	var b strings.Builder
-	for _, i := range r.Instances() {
+	for _, i := range r.Select(anyService).Instances {
 		fmt.Fprintln(&b, i.ID, i.Address)
 	}
 	golden.Check(t, "superseded", b.String())
 }
 
+// anyService accepts all services.
+func anyService(string) bool { return true }
+
+// TestUnnamedService guards against an entry of another writer, whose service no
+// configuration names, that takes the place of a live instance at its address:
+// the instance got no more requests. The entry is still exchanged between
+// nodes, and is an instance once a configuration names its service.
+func TestUnnamedService(t *testing.T) {
+	agent := func(i *Instance) { i.Service = "agent" }
+	at := func(address string) func(*Instance) {
+		return func(i *Instance) { i.Address = netip.MustParseAddrPort(address) }
+	}
+	var r Roster
+	r.Replace(start, start, []Instance{entry("1", at("10.0.0.9:80")), entry("2", agent, restarted, at("10.0.0.9:80")),
+		entry("3", agent), entry("4", at("10.0.0.4:80")), entry("5", restarted, at("10.0.0.4:80"))})
+	var b strings.Builder
+	fmt.Fprintln(&b, "entries:", ids(r.Entries()))
+	for _, named := range []map[string]bool{{"s": true}, {"s": true, "agent": true}, {}} {
+		s := r.Select(func(service string) bool { return named[service] })
+		fmt.Fprintf(&b, "named %v: instances %s; unnamed %s; superseded %s\n", named, ids(s.Instances), ids(s.Unnamed), ids(s.Superseded))
+	}
+	golden.Check(t, "unnamed", b.String())
+}
+
+func ids(list []Instance) string {
+	var out []string
+	for _, i := range list {
+		out = append(out, i.ID)
+	}
+	return strings.Join(out, " ")
+}
+
 func render(changes []Change) string {
 	var parts []string
 	for _, c := range changes {
--- a/lib/decision/routing/routing.go
+++ b/lib/decision/routing/routing.go
@@ -73,11 +73,16 @@
 	// testPriorities maps each service to the priority of its least urgent
 	// retryable route.
 	testPriorities map[string]int
+	services       map[string]bool
 }
 
 // Compile returns the table of a configuration, which it keeps.
 func Compile(c *Configuration) *Table {
-	t := &Table{Configuration: c, hosts: make(map[string]map[string]*Route), testPriorities: make(map[string]int)}
+	t := &Table{Configuration: c, hosts: make(map[string]map[string]*Route), testPriorities: make(map[string]int),
+		services: make(map[string]bool)}
+	for _, s := range c.Services {
+		t.services[s.Name] = true
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -106,6 +111,9 @@
 	return r.retryable() && r.Priority == t.testPriorities[service]
 }
 
+// HasService reports whether the configuration names the service.
+func (t *Table) HasService(name string) bool { return t.services[name] }
+
 // Find returns the route of the host with the longest prefix of path, or nil if
 // there is none. The host may include a port. The cost grows with the depth of
 // the path, not with the number of routes.
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -104,8 +104,10 @@
 	dataCentrePeers []netip.Addr
 	remotePeers     []netip.Addr
 	storeFailing    bool
-	// lastInvalid describes the entries that were last logged as left out.
+	// lastInvalid describes the entries that were last logged as left out, and
+	// lastUnused those that were last logged as not used.
 	lastInvalid string
+	lastUnused  string
 }
 
 // Bind implements kernel.Service.
@@ -202,7 +204,7 @@
 }
 
 // maxInvalidLogged bounds the entries that are named when the set of those left
-// out has changed.
+// out or not used has changed.
 const maxInvalidLogged = 5
 
 // recordInvalid counts the entries that are left out of the list of instances, and
@@ -265,7 +267,9 @@
 		Instances: make(map[string]roster.Instance), ReadAt: s.roster.ReadAt()}
 	s.dataCentrePeers, s.remotePeers = nil, nil
 	remote := make(map[string][]netip.Addr)
-	for _, i := range s.roster.Instances() {
+	selection := s.roster.Select(s.isNamed)
+	s.recordUnused(selection)
+	for _, i := range selection.Instances {
 		st.Services[i.Service] = append(st.Services[i.Service], i)
 		st.Instances[i.ID] = i
 		a := i.Address.Addr()
@@ -287,6 +291,36 @@
 	}
 }
 
+// isNamed reports whether the configuration names a service. Before the first
+// configuration it accepts all services, since the addresses of their VMs are
+// needed to ask other sidecars for the configuration.
+func (s *Service) isNamed(service string) bool {
+	return s.config.table == nil || s.config.table.HasService(service)
+}
+
+// recordUnused counts the entries that are not used as instances, and logs them
+// when they are others than at the last time.
+func (s *Service) recordUnused(selection roster.Selection) {
+	unused := len(selection.Unnamed) + len(selection.Superseded)
+	s.Scope.Gauge("unused_entries").Update(float64(unused))
+	unnamed, superseded := describeEntries(selection.Unnamed), describeEntries(selection.Superseded)
+	if text := fmt.Sprint(unused, unnamed, superseded); text != s.lastUnused {
+		s.lastUnused = text
+		s.Log.Info("The entries that are not used changed.", "entries", unused, "unnamedService", unnamed,
+			"superseded", superseded, "configVersion", s.config.version())
+	}
+}
+
+// describeEntries returns the identifiers, services and addresses of the first
+// maxInvalidLogged entries.
+func describeEntries(list []roster.Instance) []string {
+	var out []string
+	for _, i := range list[:min(len(list), maxInvalidLogged)] {
+		out = append(out, fmt.Sprintf("%s %s %v", i.ID, i.Service, i.Address))
+	}
+	return out
+}
+
 // announce sends the age, digest and version of the known state to the sidecars
 // of the data centre.
 func (s *Service) announce(now time.Time) {
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -10,8 +10,8 @@
 	"cassiarack.example/lib/wire"
 )
 
-// Snapshot handles the Snapshot call of other sidecars. It returns the list of
-// instances, and the configuration if it is newer than the one the caller has.
+// Snapshot handles the Snapshot call of other sidecars. It returns the entries
+// of all instances, and the configuration if it is newer than the one the caller has.
 func (s *Service) Snapshot(ctx context.Context, r *wire.SnapshotRequest) (*wire.SnapshotReply, error) {
 	call := ring.NewCall[struct{}, *wire.SnapshotReply](struct{}{})
 	err := s.commands.Offer(func(now time.Time) { call.Reply(s.snapshot(now, r.GetConfigVersion())) })
@@ -31,7 +31,7 @@
 	if s.config.version() > known {
 		reply.Config = s.config.document
 	}
-	for _, i := range s.roster.Instances() {
+	for _, i := range s.roster.Entries() {
 		reply.Instances = append(reply.Instances, &wire.InstanceRecord{Id: i.ID, Born: i.StartedAt.UnixMilli(),
 			Service: i.Service, Address: i.Address.String(), DataCentre: i.DataCentre, Slots: int32(i.Slots),
 			Draining: i.Draining, Cold: i.Cold, Revision: i.Revision})
