Notice clients that leave after their last request

Cause: the goroutine that reads a connection ended with the last request, and only reading shows that the client has closed the connection. Ruled out: the relay and the gate, as TestLeaveAfterLastRequest shows it at the ingress alone. Related paths with the same cause: HTTP/1.0, a refused head or body behind another request, bytes behind the last request, a last request behind others.

Change: conn.awaitWritten reads on until the responses are written, and cancels the requests when the connection ends before.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -69,21 +71,47 @@
 		c.writeAnswers(ctx, cancel)
 	}()
 	err := c.readRequests(ctx)
+	c.answers.Close()
 	if err == nil {
 		// The remaining responses are written before the connection is closed.
-		c.answers.Close()
-		<-written
-		c.linger()
-	} else {
+		err = c.awaitWritten(written)
+	}
+	if err != nil {
 		cancel()
-		c.answers.Close()
-		<-written
+	}
+	<-written
+	if err == nil {
+		c.linger()
 	}
 	cancel()
 	c.net.Close()
 	c.service.remove(c)
 }
 
+// awaitWritten waits until the remaining responses are written. Meanwhile it reads
+// what the client sends after its last request and discards it, since only
+// reading shows that the client has left. It then returns an error.
+func (c *conn) awaitWritten(written <-chan struct{}) error {
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	go func() {
+		<-written
+		// An expired deadline ends the reading. An error means that the connection
+		// is closed, which ends it as well.
+		_ = c.net.SetReadDeadline(expired)
+	}()
+	_, err := io.Copy(io.Discard, c.reader)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		<-written
+		return nil
+	}
+	return cmp.Or(err, errClientLeft)
+}
+
+// expired is a deadline that ends a read at once.
+var expired = time.Unix(1, 0)
+
 // linger closes the sending side and reads until the client closes the
 // connection or lingerTime has passed.
 func (c *conn) linger() {
@@ -234,14 +262,14 @@
 	if last && !e.closeAfter {
 		// The reader may be waiting for another request, which would not be
 		// handled; an expired deadline ends that wait.
-		return c.net.SetReadDeadline(time.Unix(1, 0))
+		return c.net.SetReadDeadline(expired)
 	}
 	return nil
 }
 
-// errClientLeft means that the connection ended before the request was
-// complete.
-var errClientLeft = errors.New("ingress: the connection ended before the request was complete")
+// errClientLeft means that the client closed the connection before its requests
+// were answered.
+var errClientLeft = errors.New("ingress: the client closed the connection before its requests were answered")
 
 // send writes one response. With last, it tells the client that the connection
 // closes.
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -65,6 +66,20 @@
 		Body: fmt.Appendf(nil, "%s %s %q", r.Method, r.Target, r.Body)}
 }
 
+// awaitRequest waits until a request for the target has been passed on.
+func (f *fakeServices) awaitRequest(target string) {
+	isTarget := func(r *message.Request) bool { return r.Target == target }
+	for {
+		f.mu.Lock()
+		found := slices.ContainsFunc(f.requests, isTarget)
+		f.mu.Unlock()
+		if found {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // startIngress runs an ingress and returns it with its fake services, its
 // address and a function that starts a shutdown.
 func startIngress(t *testing.T) (*Service, *fakeServices, string, context.CancelFunc) {
@@ -148,6 +163,67 @@
 	}
 }
 
+// TestLeaveAfterLastRequest guards against requests that run on after their client
+// has left: when no further request of a connection was to be read, nobody read
+// the connection any more, and its end was not noticed.
+func TestLeaveAfterLastRequest(t *testing.T) {
+	const closing = "Connection: close\r\n\r\n"
+	slow := getRequest("/a/1?3s")
+	for _, tc := range []struct{ name, text string }{
+		{"announced", strings.TrimSuffix(slow, "\r\n") + closing},
+		{"old protocol", "GET /a/1?3s HTTP/1.0\r\nHost: h.example\r\n\r\n"},
+		{"announced behind another", slow + "GET /a/2 HTTP/1.1\r\nHost: h.example\r\n" + closing},
+		{"refused head behind another", slow + "GET /a/2 HTTP/1.1\nHost: h.example\r\n\r\n"},
+		{"refused body behind another", slow + "POST /a/2 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 65\r\n\r\n"},
+		{"more bytes behind", strings.TrimSuffix(slow, "\r\n") + closing + strings.Repeat("x", 3*readBuffer)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, f, address, _ := startIngress(t)
+			c := dial(t, address)
+			_, err := io.WriteString(c, tc.text)
+			is.NoErr(err)
+			f.awaitRequest("/a/1?3s")
+			is.NoErr(c.Close())
+			select {
+			case target := <-f.cancelled:
+				is.Equal(target, "/a/1?3s")
+			case <-time.After(goneTime):
+				t.Error("the request runs on")
+			}
+		})
+	}
+}
+
+// goneTime is the time within which a request must be cancelled after its client
+// has left.
+const goneTime = 500 * time.Millisecond
+
+// TestAnswerAfterLastRequest guards against a request that is cancelled although its
+// client waits for the response: the reader must not take the end of its own wait
+// for the end of the client.
+func TestAnswerAfterLastRequest(t *testing.T) {
+	is := is.New(t)
+	_, _, address, _ := startIngress(t)
+	for n := range 20 {
+		c := dial(t, address)
+		_, err := io.WriteString(c, getRequest("/a/1?50ms")+"GET /a/2?"+fmt.Sprint(n)+"ms HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\nmore")
+		is.NoErr(err)
+		r := bufio.NewReader(c)
+		for _, last := range []bool{false, true} {
+			resp, err := http.ReadResponse(r, nil)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(resp.Close, last)
+		}
+		rest, err := io.ReadAll(r)
+		is.NoErr(err) // no reset, which could destroy the responses
+		is.Equal(string(rest), "")
+	}
+}
+
 // TestRequestHeads guards against request smuggling, that is requests that two
 // HTTP parsers read differently, and against size limits that are not enforced.
 func TestRequestHeads(t *testing.T) {
