Notice clients that leave while their pipeline is full

Requests of a client that pipelines more than 16 of them ran to their end after it had left.

Cause: the goroutine that reads a connection waited for room in the ring of unanswered requests and did not read meanwhile.

Change: conn.queue reads ahead into the buffer of the connection while it waits. If the buffer is full, the end is noticed only after an answer.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -141,9 +141,7 @@
 		if !c.beginRequest() {
 			return nil
 		}
-		c.service.inflight.Add(1)
-		if err := c.answers.Put(ctx, e); err != nil {
-			c.service.inflight.Add(-1)
+		if err := c.queue(ctx, e); err != nil {
 			return err
 		}
 		body, err := c.readBody(head)
@@ -219,12 +217,66 @@
 	}
 	e := &exchange{method: http.MethodGet, closeAfter: true, answer: make(chan *message.Answer, 1)}
 	e.answer <- plainTextAnswer(refused.status, refused.Error())
+	return c.queue(ctx, e)
+}
+
+// queue adds an exchange to those whose responses are still to be written. While
+// maxPipelined are, it waits and reads ahead as far as the buffer has room, so
+// that it notices when the client leaves.
+func (c *conn) queue(ctx context.Context, e *exchange) error {
 	c.service.inflight.Add(1)
-	if err := c.answers.Put(ctx, e); err != nil {
+	if c.answers.Offer(e) == nil {
+		return nil
+	}
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
 		c.service.inflight.Add(-1)
 		return err
 	}
-	return nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	queued := make(chan error, 1)
+	go func() {
+		err := c.answers.Put(ctx, e)
+		// An error means that the connection is closed, which ends the reading as
+		// well.
+		_ = c.net.SetReadDeadline(expired)
+		queued <- err
+	}()
+	err := c.readAhead()
+	if errors.Is(err, bufio.ErrBufferFull) || errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	} else {
+		cancel()
+	}
+	if putErr := <-queued; putErr != nil {
+		c.service.inflight.Add(-1)
+		return cmp.Or(err, putErr)
+	}
+	if err == nil {
+		err = c.net.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		e.abandon()
+	}
+	return err
+}
+
+// abandon ends an exchange that has no response yet, so that the goroutine that
+// writes responses does not wait for one.
+func (e *exchange) abandon() {
+	select {
+	case e.answer <- nil:
+	default:
+	}
+}
+
+// readAhead reads into the buffer until it is full or the connection fails.
+func (c *conn) readAhead() error {
+	for {
+		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
+			return err
+		}
+	}
 }
 
 // writeAnswers sends responses in the order of their requests. After the client
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -144,6 +144,30 @@
 	is.True(time.Since(began) < 390*time.Millisecond) // the two slow requests ran concurrently
 }
 
+// TestLongPipeline guards against requests that are lost or mixed up when a client
+// sends more of them than may be unanswered, with bodies that are read before,
+// while and after the reader waits for room.
+func TestLongPipeline(t *testing.T) {
+	is := is.New(t)
+	_, _, address, _ := startIngress(t)
+	c := dial(t, address)
+	const requests = 5 * maxPipelined
+	var b strings.Builder
+	for n := range requests {
+		fmt.Fprintf(&b, "POST /a/%d?%dms HTTP/1.1\r\nHost: h.example\r\nPad: %s\r\nContent-Length: 2\r\n\r\n%02d", n, n%7,
+			strings.Repeat("p", n%5*80), n)
+	}
+	go func() { _, _ = io.WriteString(c, b.String()) }()
+	r := bufio.NewReader(c)
+	for n := range requests {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), fmt.Sprintf("POST /a/%d?%dms %q", n, n%7, fmt.Sprintf("%02d", n)))
+	}
+}
+
 // TestNoAnswerAfterClientCloses guards against a response to a later request on
 // a connection whose earlier request was cancelled: the client would take it
 // for the response to the earlier one.
@@ -195,6 +219,28 @@
 	}
 }
 
+// TestLeaveWithFullPipeline guards against requests that run on after their client
+// has left while as many of its requests as allowed are unanswered: the reader
+// waited for the next answer and did not notice the end of the connection.
+func TestLeaveWithFullPipeline(t *testing.T) {
+	is := is.New(t)
+	_, f, address, _ := startIngress(t)
+	c := dial(t, address)
+	_, err := io.WriteString(c, strings.Repeat(getRequest("/a/1?3s"), maxPipelined+4))
+	is.NoErr(err)
+	f.awaitRequest("/a/1?3s")
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(c.Close())
+	late := time.After(goneTime)
+	for n := range maxPipelined {
+		select {
+		case <-f.cancelled:
+		case <-late:
+			t.Fatalf("%d of %d requests run on", maxPipelined-n, maxPipelined)
+		}
+	}
+}
+
 // goneTime is the time within which a request must be cancelled after its client
 // has left.
 const goneTime = 500 * time.Millisecond
