Test endless and cut answers through two sidecars

Other operators reported instances that send bytes without end, so that the machine that called ran out of memory, and heads that end early and reach clients as whole answers.

The soak plays the three modes too. No code of the product changed.

--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -26,16 +27,25 @@
 	Unframed         Mode = "unframed"  // answers without a Content-Length
 	Garbage          Mode = "garbage"   // sends bytes that are not an HTTP answer
 	Unsigned         Mode = "unsigned"  // answers without its signature
+	CutsHead         Mode = "head"      // runs and ends in the middle of its answer's head
+	EndlessHead      Mode = "longHead"  // runs and sends a head without end
+	EndlessBody      Mode = "longBody"  // runs and sends a body without end
 )
 
 // InstanceModes lists all faulty modes of an instance.
-var InstanceModes = []Mode{Errors, Sheds, Hangs, ClosesUnanswered, TruncatesAnswer, ExtraAnswer, LateExtraAnswer, Unframed, Garbage, Unsigned}
+var InstanceModes = []Mode{Errors, Sheds, Hangs, ClosesUnanswered, TruncatesAnswer, ExtraAnswer, LateExtraAnswer, Unframed, Garbage, Unsigned,
+	CutsHead, EndlessHead, EndlessBody}
 
 const (
 	// extraDelay is the time from the first answer to a late second answer.
 	extraDelay = 30 * time.Millisecond
 	// extraLinger is how long the connection stays open after the second answer.
 	extraLinger = 300 * time.Millisecond
+	// endlessChunk is the number of bytes that an endless answer writes at a time,
+	// and endlessTime how long it goes on if the sidecar does not close the
+	// connection.
+	endlessChunk = 64 << 10
+	endlessTime  = 10 * time.Second
 )
 
 // Runs records the executions of requests at all instances.
@@ -192,6 +202,12 @@
 		sendRaw(w, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+text, "", 0)
 	case Garbage:
 		sendRaw(w, "GARBAGE "+whole, "", 0)
+	case CutsHead:
+		sendRaw(w, whole[:rand.IntN(len(whole)-len(text))], "", 0)
+	case EndlessHead:
+		sendEndless(w, "HTTP/1.1 200 OK\r\n"+head+"X-Other: ")
+	case EndlessBody:
+		sendEndless(w, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+text)
 	case Unsigned:
 		sendRaw(w, strings.ReplaceAll(whole, "X-Cassiarack-Response-Signature", "X-Other"), "", 0)
 	default:
@@ -215,16 +231,44 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", i.identityHeaders(attempt), len(text), text)
 }
 
-// sendRaw takes over the connection of a request, writes first to it and closes it.
-// If second is not empty, it writes that after the delay, and closes the connection
-// extraLinger later.
-func sendRaw(w http.ResponseWriter, first, second string, delay time.Duration) {
+// sendEndless takes over the connection of a request and writes first, and then
+// more bytes until the sidecar closes the connection or endlessTime has passed.
+func sendEndless(w http.ResponseWriter, first string) {
+	c := hijack(w)
+	if c == nil {
+		return
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(endlessTime)); err != nil {
+		return
+	}
+	more := strings.Repeat("x", endlessChunk)
+	_, err := io.WriteString(c, first)
+	for err == nil {
+		_, err = io.WriteString(c, more)
+	}
+}
+
+// hijack takes over the connection of a request. It returns nil if the connection
+// has ended.
+func hijack(w http.ResponseWriter) net.Conn {
 	h, ok := w.(http.Hijacker)
 	if !ok {
 		panic("mesh: the server cannot hijack connections")
 	}
 	c, _, err := h.Hijack()
 	if err != nil {
+		return nil
+	}
+	return c
+}
+
+// sendRaw takes over the connection of a request, writes first to it and closes it.
+// If second is not empty, it writes that after the delay, and closes the connection
+// extraLinger later.
+func sendRaw(w http.ResponseWriter, first, second string, delay time.Duration) {
+	c := hijack(w)
+	if c == nil {
 		return
 	}
 	defer c.Close()
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -75,6 +75,9 @@
 	// Network is the second byte of the loopback addresses. Fleets that run at the
 	// same time need different ones.
 	Network int
+	// MemoryMegabytes is the memory limit in the sidecars' settings; zero means
+	// none.
+	MemoryMegabytes int
 	// TraceEndpoint is the URL to which the sidecars send spans; empty means none.
 	TraceEndpoint string
 
@@ -195,9 +198,9 @@
 // to the log of earlier processes on the VM.
 func (m *Mesh) Launch(v *VM) error {
 	settings := fmt.Sprintf(`{"name":"vm%d","dataCentre":%q,"service":%q,"instance":%q,"callers":%q,"ready":%q,"fleet":%q,
-"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","traceEndpoint":%q}`, v.Index, v.DataCentre,
+"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","memoryMegabytes":%d,"traceEndpoint":%q}`, v.Index, v.DataCentre,
 		v.Instance.Service, m.address(v.Index, portProxy), m.address(v.Index, portCallers), m.address(v.Index, portReady),
-		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), v.storeProxy.Listen, graceTime, m.TraceEndpoint)
+		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), v.storeProxy.Listen, graceTime, m.MemoryMegabytes, m.TraceEndpoint)
 	path := filepath.Join(m.Folder, fmt.Sprintf("vm%d.jsonc", v.Index))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
--- a/standin/mesh/store.go
+++ b/standin/mesh/store.go
@@ -158,12 +158,8 @@
 
 // resetConnection resets the connection of a request.
 func resetConnection(w http.ResponseWriter) {
-	h, ok := w.(http.Hijacker)
-	if !ok {
-		panic("mesh: the server cannot hijack connections")
-	}
-	c, _, err := h.Hijack()
-	if err != nil {
+	c := hijack(w)
+	if c == nil {
 		return
 	}
 	if t, ok := c.(*net.TCPConn); ok {
