Break requests off only in the last sixth of a planned stop

From a report of other operators. With 4 s between SIGTERM and SIGKILL, requests that may not be repeated were passed on up to 2.8 s after SIGTERM and broken off at 3.05 s with a 502 while their instances worked on them. Stops of 6 s kept the rule, and no request that was passed on was cut without an answer.

Cause: requests in flight were cancelled 0.95 s before SIGKILL whatever the length of the stop; the platform excuses that in its last sixth only, which is shorter for stops below 5.7 s. Requests were also passed on with more time than the sidecar had left. Ruled out: a sidecar that stays too long; the second that the test saw after "Stopped." is the race detector's.

Change: the margins are a part of the length of the stop, unchanged from 6 s on; the deadline that is passed on ends with the stop, so that a gate can refuse what would be broken off.

--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -383,7 +383,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(statusOf(""), 200) // minDrainTime has not passed
-	for s.abortAt.Load() == 0 {
+	for !s.late.Load() {
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(statusOf(short), 200) // deadline before the end of the shutdown
@@ -392,6 +392,29 @@
 	is.Equal(statusOf(short), 503) // the instance runs nothing, so this is not its call
 }
 
+// TestDeadlineInStop guards against requests that are passed on in a shutdown with
+// more time than the sidecar has left: their instances would still be working on
+// them when the sidecar breaks them off.
+func TestDeadlineInStop(t *testing.T) {
+	is := is.New(t)
+	s, f, address, cancel := startIngress(t)
+	// The request whose answer is due after two seconds keeps the shutdown going.
+	_, err := io.WriteString(dial(t, address), getRequest("/a/1?2s"))
+	is.NoErr(err)
+	f.awaitRequest("/a/1?2s")
+	cancel()
+	for s.abortAt.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.WriteString(dial(t, address), getRequest("/a/2"))
+	is.NoErr(err)
+	f.awaitRequest("/a/2")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.True(f.requests[0].Deadline.Equal(f.requests[0].Received.Add(5 * time.Second))) // the timeout of the route
+	is.True(f.requests[1].Deadline.Equal(*s.abortAt.Load()))
+}
+
 // TestBodyMemory guards against requests whose bodies together exceed the memory of
 // the process, and against a trailer without end. The client is told that such a
 // request was not run, and the memory is free again afterwards.
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -71,7 +71,7 @@
 		Attempt: attempt, Method: head.Method, Target: target, Host: head.Host,
 		Header: platform.RequestHeader(head.Header, s.CallerService), Body: body,
 		Route: route, ConfigVersion: table.Configuration.Version, Service: s.chooseService(table, route),
-		Received: received, Deadline: deadline, TargetTime: received.Add(route.TargetLatency),
+		Received: received, Deadline: s.deadlineInStop(deadline), TargetTime: received.Add(route.TargetLatency),
 	})
 	if a.Status >= http.StatusInternalServerError {
 		s.gate.RecordNestedFailure(time.Now())
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -38,10 +38,11 @@
 	MinDrainTime = 2800 * time.Millisecond
 	// drainPoll is how often a shutdown checks for requests in flight.
 	drainPoll = 50 * time.Millisecond
-	// abortMargin is how long before the end of a shutdown the requests in
-	// flight are cancelled. It leaves time to send their responses and those
-	// queued behind them.
-	abortMargin = 250 * time.Millisecond
+	// maxAbortMargin and abortMarginPart bound how long before the end of a shutdown
+	// the requests in flight are cancelled, the second as a part of the shutdown.
+	// The margin leaves time to send their responses and those queued behind them.
+	maxAbortMargin  = 250 * time.Millisecond
+	abortMarginPart = 1.0 / 21
 	// The default limits apply until there is a configuration, and to limits
 	// that it does not set.
 	defaultHeaderBytes   = 16 << 10
@@ -95,9 +96,11 @@
 	intakeClosed atomic.Bool
 	// aborted is closed when the requests in flight are cancelled.
 	aborted chan struct{}
-	// abortAt is when the requests in flight will be cancelled, in Unix
-	// nanoseconds. It is zero until a shutdown has lasted for MinDrainTime.
-	abortAt  atomic.Int64
+	// abortAt is when the requests in flight will be cancelled. It is nil until a
+	// shutdown.
+	abortAt atomic.Pointer[time.Time]
+	// late is set once a shutdown has lasted for MinDrainTime.
+	late     atomic.Bool
 	inflight atomic.Int64
 
 	splitMu         sync.Mutex
@@ -172,10 +175,13 @@
 	if !ok {
 		return errors.New("ingress: drain needs a deadline")
 	}
-	t := time.AfterFunc(time.Until(end)-abortMargin, s.abort)
+	now := time.Now()
+	abortAt := end.Add(-AbortMargin(end.Sub(now)))
+	s.abortAt.Store(&abortAt)
+	t := time.AfterFunc(abortAt.Sub(now), s.abort)
 	defer t.Stop()
 	clock.Sleep(ctx, MinDrainTime)
-	s.abortAt.Store(end.Add(-abortMargin).UnixNano())
+	s.late.Store(true)
 	// The instance makes its calls through this sidecar until its requests are
 	// done.
 	for s.inflight.Load() > 0 || s.gate.Running() > 0 {
@@ -187,14 +193,29 @@
 	return nil
 }
 
+// AbortMargin returns how long before the end of a shutdown of the given length the
+// requests in flight are cancelled.
+func AbortMargin(length time.Duration) time.Duration {
+	return min(maxAbortMargin, time.Duration(abortMarginPart*float64(length)))
+}
+
 // admits reports whether a request with the given deadline is still accepted.
 // Late in a shutdown, requests are accepted only while the instance is running
 // requests, since they may be calls that it makes for these, and only if the
 // deadline is before the end: a request that is cut off at the end may already
 // have run.
 func (s *Service) admits(deadline time.Time) bool {
-	at := s.abortAt.Load()
-	return at == 0 || s.gate.Running() > 0 && deadline.UnixNano() < at
+	return !s.late.Load() || s.gate.Running() > 0 && deadline.Before(*s.abortAt.Load())
+}
+
+// deadlineInStop returns the deadline of a request that arrives now. In a shutdown it
+// is at the latest when the requests in flight are cancelled, so that a gate
+// refuses a request that would be broken off then.
+func (s *Service) deadlineInStop(deadline time.Time) time.Time {
+	if at := s.abortAt.Load(); at != nil && at.Before(deadline) {
+		return *at
+	}
+	return deadline
 }
 
 // abort stops the intake of requests and cancels those in flight.
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -44,8 +44,12 @@
 	bodyMemoryShare = 0.15
 	// maxStoreHead bounds the header of a response of the store in bytes.
 	maxStoreHead = 64 << 10
-	// stopMargin is how long before SIGKILL the drain of the services ends.
-	stopMargin = 700 * time.Millisecond
+	// maxStopMargin and stopMarginPart bound how long before SIGKILL the drain of the
+	// services ends, the second as a part of the time from SIGTERM to SIGKILL. The
+	// platform accepts only in the last sixth of that time that a request is broken
+	// off; this margin and that of the ingress stay within it.
+	maxStopMargin  = 700 * time.Millisecond
+	stopMarginPart = 7.0 / 60
 	// peerDialTimeout bounds the time to open a connection to another sidecar,
 	// which is a few milliseconds away. A lost packet is sent again only after
 	// a second, by which time another instance could have been tried.
@@ -110,13 +114,19 @@
 	defer stopTracing()
 	services := append(registrations(s, l, j), kernel.Registration{Name: names.Settings,
 		Needs: []string{names.Journal, names.Relay}, Service: &reloader{Started: s, Read: read, Hangups: hangup.Signals(), Log: logger}})
-	k := &kernel.Kernel{Registrations: services, Log: j.Logger("kernel"), DrainTimeout: s.StopTimeout - stopMargin}
+	k := &kernel.Kernel{Registrations: services, Log: j.Logger("kernel"), DrainTimeout: drainTimeout(s.StopTimeout)}
 	logger.Info("Started.", "vm", s.Name, "service", s.Service, "callers", s.Callers, "fleet", s.Fleet,
 		"version", version)
 	context.AfterFunc(ctx, func() { logger.Info("Stopping.", "vm", s.Name, "timeout", s.StopTimeout) })
 	return k.Run(ctx)
 }
 
+// drainTimeout returns the time for the drain of the services in a stop that may
+// take stopTimeout.
+func drainTimeout(stopTimeout time.Duration) time.Duration {
+	return stopTimeout - min(maxStopMargin, time.Duration(stopMarginPart*float64(stopTimeout)))
+}
+
 // bodyPool returns a pool for the bodies of requests or of answers. Without a
 // memory limit in the settings, the pool has none either.
 func bodyPool(s *settings.Settings) *memory.Pool {
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -78,6 +79,11 @@
 	// MemoryMegabytes is the memory limit in the sidecars' settings; zero means
 	// none.
 	MemoryMegabytes int
+	// StopTimeout is the time from SIGTERM to SIGKILL in the sidecars' settings;
+	// zero means graceTime.
+	StopTimeout time.Duration
+	// Work is the mean run time of a request; zero means instanceWork.
+	Work time.Duration
 	// TraceEndpoint is the URL to which the sidecars send spans; empty means none.
 	TraceEndpoint string
 
@@ -142,7 +148,7 @@
 func (m *Mesh) addVM(service string) error {
 	n := len(m.VMs) + 1
 	v := &VM{Index: n, Address: m.address(n, 0).Addr(), DataCentre: fmt.Sprintf("dc%d", n%3),
-		Instance: &Instance{ID: fmt.Sprintf("i-%d", n), Service: service, Work: instanceWork, Runs: m.Runs, mode: Healthy}}
+		Instance: &Instance{ID: fmt.Sprintf("i-%d", n), Service: service, Work: cmp.Or(m.Work, instanceWork), Runs: m.Runs, mode: Healthy}}
 	listener, err := net.Listen("tcp", m.address(n, portInstance).String())
 	if err != nil {
 		return fmt.Errorf("start instance: %w", err)
@@ -200,7 +206,7 @@
 	settings := fmt.Sprintf(`{"name":"vm%d","dataCentre":%q,"service":%q,"instance":%q,"callers":%q,"ready":%q,"fleet":%q,
 "metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","memoryMegabytes":%d,"traceEndpoint":%q}`, v.Index, v.DataCentre,
 		v.Instance.Service, m.address(v.Index, portProxy), m.address(v.Index, portCallers), m.address(v.Index, portReady),
-		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), v.storeProxy.Listen, graceTime, m.MemoryMegabytes, m.TraceEndpoint)
+		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), v.storeProxy.Listen, cmp.Or(m.StopTimeout, graceTime), m.MemoryMegabytes, m.TraceEndpoint)
 	path := filepath.Join(m.Folder, fmt.Sprintf("vm%d.jsonc", v.Index))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
