Pass bytes above 0x7F on between sidecars

Cause: fields of type string, which must be UTF-8, held what callers and instances send; and drpc begins a stream before it encodes the message of a call, so that after a failure the other side waits for a call that never comes while the connection goes back to the pool. Ruled out: the reader of requests and the client of the instance, which pass the bytes on.

Change: the fields are of type bytes, the same on the wire. encodingConn encodes before it uses a connection; peers.NotSent tells such a failure apart, and it no longer makes a sidecar count as unreachable. Reasons and attributes of spans that may contain such bytes are made valid, reasons cut to 200 bytes.

Open: handover.proto of cassiarack-node has such fields as well.

--- a/lib/service/peers/peers.go
+++ b/lib/service/peers/peers.go
@@ -84,9 +84,33 @@
 // Conn returns a pooled connection to a node. It dials when the first call is
 // made.
 func (s *Service) Conn(ctx context.Context, addr netip.AddrPort) drpc.Conn {
-	return s.pool.Get(ctx, addr, s.dial)
+	return encodingConn{s.pool.Get(ctx, addr, s.dial)}
 }
 
+// encodingConn encodes the message of a call before it uses a connection. drpc
+// encodes after it has begun a stream; if that fails, the other side waits for
+// the call of that stream, and later calls on the pooled connection never end.
+type encodingConn struct{ drpc.Conn }
+
+// Invoke implements drpc.Conn. NotSent reports whether the message could not be
+// encoded.
+func (c encodingConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	data, err := enc.Marshal(in)
+	if err != nil {
+		return &Error{Op: "call " + rpc, Kind: KindEncode, Err: err}
+	}
+	return c.Conn.Invoke(ctx, rpc, encoded{Encoding: enc, data: data}, in, out)
+}
+
+// encoded is an encoding whose message is already encoded.
+type encoded struct {
+	drpc.Encoding
+	data []byte
+}
+
+// Marshal implements drpc.Encoding.
+func (e encoded) Marshal(drpc.Message) ([]byte, error) { return e.data, nil }
+
 func (s *Service) dial(ctx context.Context, addr netip.AddrPort) (drpcpool.Conn, error) {
 	timeout := s.DialTimeout
 	if timeout == 0 {
@@ -108,11 +132,11 @@
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
-// NotConnected reports whether a call failed because no connection could be
-// opened, so that no part of the call was sent.
-func NotConnected(err error) bool {
+// NotSent reports whether a call failed before any part of it was sent: no
+// connection could be opened, or its message could not be encoded.
+func NotSent(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return errors.Is(err, ErrEncode) || errors.As(err, &op) && op.Op == "dial"
 }
 
 func managerOptions() drpcmanager.Options {
--- a/lib/tracing/tracing.go
+++ b/lib/tracing/tracing.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -62,6 +63,12 @@
 	}, nil
 }
 
+// String returns an attribute for a text that may come from outside. Spans with
+// attributes that are no UTF-8 could not be exported.
+func String(key, value string) attribute.KeyValue {
+	return attribute.String(key, strings.ToValidUTF8(value, "\uFFFD"))
+}
+
 // TraceParent returns the traceparent of the span in ctx, or the empty string if
 // there is none.
 func TraceParent(ctx context.Context) string {
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -317,8 +317,8 @@
 func (s *Service) recordOverdue(now time.Time, j *job) {
 	s.filter.Observe(now, true, belief.HangWeight)
 	s.Scope.Counter("overdue_runs").Inc(1)
-	if s.journal.AllowRequestLine(now, j.request.GetAttempt(), false) {
-		s.Log.Info("A run is overdue.", "request", j.request.GetAttempt(), "instance", j.request.GetInstance(),
+	if s.journal.AllowRequestLine(now, string(j.request.GetAttempt()), false) {
+		s.Log.Info("A run is overdue.", "request", string(j.request.GetAttempt()), "instance", j.request.GetInstance(),
 			"expected", j.expectedRunTime, "failing", s.filter.FailingProbability(now))
 	}
 	s.notifyPeers(now)
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -50,8 +51,8 @@
 	defer span.End()
 	reply, err := s.handleRequest(ctx, r)
 	if span.IsRecording() {
-		span.SetAttributes(attribute.String("request", r.GetAttempt()), attribute.String("instance", r.GetInstance()),
-			attribute.String("outcome", OutcomeName(reply.GetOutcome())), attribute.String("reason", reply.GetReason()))
+		span.SetAttributes(tracing.String("request", string(r.GetAttempt())), attribute.String("instance", r.GetInstance()),
+			attribute.String("outcome", OutcomeName(reply.GetOutcome())), tracing.String("reason", reply.GetReason()))
 	}
 	return reply, err
 }
@@ -64,8 +65,8 @@
 		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(admission.ReasonFull)}, nil
 	}
 	if reason := s.awaitDecision(ctx, j); reason != "" {
-		if now := time.Now(); s.journal.AllowRequestLine(now, r.GetAttempt(), false) {
-			s.Log.Info("A request was refused.", "request", r.GetAttempt(), "instance", r.GetInstance(),
+		if now := time.Now(); s.journal.AllowRequestLine(now, string(r.GetAttempt()), false) {
+			s.Log.Info("A request was refused.", "request", string(r.GetAttempt()), "instance", r.GetInstance(),
 				"reason", reason, "patience", time.Duration(r.GetPatience()), "acceptance", r.GetAcceptance(),
 				"waited", now.Sub(received), "left", time.Duration(r.GetRemaining())-now.Sub(received))
 		}
@@ -131,12 +132,12 @@
 	defer cancel()
 	header := make(http.Header, len(r.GetHeaders())+2)
 	for _, f := range r.GetHeaders() {
-		header.Add(f.GetName(), f.GetValue())
+		header.Add(string(f.GetName()), string(f.GetValue()))
 	}
 	platform.SetTargetHeaders(header, r.GetInstance(), left)
 	defer s.watchRunTime(j)()
-	answer, err := s.run(ctx, &backend.Request{Method: r.GetMethod(), Target: r.GetTarget(), Host: r.GetHost(),
-		Attempt: r.GetAttempt(), Header: header, Body: r.GetBody(), Idempotent: r.GetIdempotent()})
+	answer, err := s.run(ctx, &backend.Request{Method: string(r.GetMethod()), Target: string(r.GetTarget()),
+		Host: string(r.GetHost()), Attempt: string(r.GetAttempt()), Header: header, Body: r.GetBody(), Idempotent: r.GetIdempotent()})
 	ended := time.Now()
 	if answer != nil {
 		defer s.Answers.Release(answer.Body)
@@ -148,8 +149,8 @@
 	}
 	reply.Condition = s.release(j, e)
 	success := reply.GetOutcome() == wire.RunOutcome_RUN_OUTCOME_ANSWERED && reply.GetStatus() < http.StatusInternalServerError
-	if s.journal.AllowRequestLine(ended, r.GetAttempt(), success) {
-		s.Log.Info("A request ended at the instance.", "request", r.GetAttempt(), "instance", r.GetInstance(),
+	if s.journal.AllowRequestLine(ended, string(r.GetAttempt()), success) {
+		s.Log.Info("A request ended at the instance.", "request", string(r.GetAttempt()), "instance", r.GetInstance(),
 			"outcome", OutcomeName(reply.GetOutcome()), "status", reply.GetStatus(), "reason", reply.GetReason(),
 			"failing", float64(reply.GetCondition().GetFailingPermille())/1000, "weight", e.weight, "test", j.isTest,
 			"waited", started.Sub(received), "ran", ended.Sub(started))
@@ -223,9 +224,9 @@
 func replyFor(answer *message.Answer, err error) *wire.RunReply {
 	switch {
 	case backend.NotSent(err):
-		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: err.Error()}
+		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: errorReason(err)}
 	case err != nil:
-		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_UNKNOWN, Reason: err.Error()}
+		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_UNKNOWN, Reason: errorReason(err)}
 	case platform.NotExecuted(answer.Status, answer.Header):
 		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: ReasonInstance,
 			Status: int32(answer.Status)}
@@ -240,12 +241,22 @@
 		Body: answer.Body}
 	for name, values := range platform.AnswerHeader(answer.Header) {
 		for _, v := range values {
-			reply.Headers = append(reply.Headers, &wire.HeaderField{Name: name, Value: v})
+			reply.Headers = append(reply.Headers, &wire.HeaderField{Name: []byte(name), Value: []byte(v)})
 		}
 	}
 	return reply
 }
 
+// maxReason bounds the text of a reason in bytes.
+const maxReason = 200
+
+// errorReason returns the text of err as the reason of a reply. Errors of the
+// exchange may contain what the instance sent, which may be long or no UTF-8.
+func errorReason(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxReason)], "\uFFFD")
+}
+
 // ReasonInstance is the reason of refusals by the instance itself. Such requests
 // count as sent, unlike those that the gate refuses.
 const ReasonInstance = "instance"
--- a/sidecar/gate/run_test.go
+++ b/sidecar/gate/run_test.go
@@ -7,11 +7,28 @@
 	"strings"
 	"testing"
 
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
 	"cassiarack.example/lib/golden"
+	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
 	"cassiarack.example/sidecar/message"
 )
 
+// TestReasonOfOddAnswer guards against a reply that cannot be encoded, or is large,
+// because its reason contains what a faulty instance sent: the caller's sidecar
+// got no reply, and the outcome and the condition of the instance were lost.
+func TestReasonOfOddAnswer(t *testing.T) {
+	is := is.New(t)
+	odd := errors.New("malformed header line: J\xfbris " + strings.Repeat("\xee", 64<<10))
+	r := replyFor(nil, &backend.Error{Op: "read", Kind: backend.KindInvalid, Err: odd})
+	text, err := proto.Marshal(r)
+	is.NoErr(err)
+	is.True(len(text) < 1<<10)
+	is.Equal(r.GetOutcome(), wire.RunOutcome_RUN_OUTCOME_UNKNOWN)
+}
+
 // TestOutcome guards against a reply that promises that a request did not run
 // although the instance did not state so. An instance states it with the header
 // X-Cassiarack-Not-Executed.
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -23,7 +23,7 @@
 	defer span.End()
 	a := s.answer(ctx, attempt, head, body, received)
 	if span.IsRecording() {
-		span.SetAttributes(attribute.String("request", attempt), attribute.String("host", head.Host),
+		span.SetAttributes(tracing.String("request", attempt), tracing.String("host", head.Host),
 			attribute.Int("status", a.Status), attribute.Bool("own", a.FromFleet))
 	}
 	return a
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -58,7 +58,7 @@
 // Gates offers requests to the gates of instances.
 type Gates interface {
 	// Offer offers a request to the gate on a VM and returns the gate's reply. An
-	// error means that no reply arrived; peers.NotConnected reports whether the
+	// error means that no reply arrived; peers.NotSent reports whether the
 	// request was certainly not sent.
 	Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest) (*wire.RunReply, error)
 }
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -140,9 +140,9 @@
 	p.instance, p.failing, p.evidence = pl.ID, pl.failing, pl.evidence
 	reply, err := s.offerWithSpan(ctx, r, pl, p)
 	now := time.Now()
-	// If the client closed the connection, a missing reply is no sign that the
-	// sidecar is unreachable.
-	reached := err == nil || errors.Is(ctx.Err(), context.Canceled)
+	// If the client closed the connection or nothing could be sent, a missing reply
+	// is no sign that the sidecar is unreachable.
+	reached := err == nil || errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, peers.ErrEncode)
 	s.enqueue(func(now time.Time) { s.completeOffer(now, pl.ID, reply.GetCondition(), reached) })
 	if err != nil {
 		return s.handleNoReply(ctx, now, r, p, pl, err)
@@ -181,7 +181,7 @@
 	reply, err := s.offer(ctx, r, pl, p)
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("instance", pl.ID), attribute.Float64("failing", pl.failing),
-			attribute.String("outcome", gate.OutcomeName(reply.GetOutcome())), attribute.String("reason", reply.GetReason()))
+			attribute.String("outcome", gate.OutcomeName(reply.GetOutcome())), tracing.String("reason", reply.GetReason()))
 		span.RecordError(err)
 	}
 	return reply, err
@@ -199,13 +199,13 @@
 		acceptance = wire.Acceptance_ACCEPTANCE_ANY
 		patience = max(shortWait, time.Duration(longWaitShare*float64(r.TargetTime.Sub(now))))
 	}
-	q := &wire.RunRequest{Instance: pl.ID, Attempt: r.Attempt, Method: r.Method, Target: r.Target, Host: r.Host,
-		Body: r.Body, Remaining: int64(r.Deadline.Sub(now)), RemainingTarget: int64(r.TargetTime.Sub(now)),
+	q := &wire.RunRequest{Instance: pl.ID, Attempt: []byte(r.Attempt), Method: []byte(r.Method),
+		Target: []byte(r.Target), Host: []byte(r.Host), Body: r.Body, Remaining: int64(r.Deadline.Sub(now)), RemainingTarget: int64(r.TargetTime.Sub(now)),
 		Route: r.Route.Name, Priority: int32(r.Route.Priority), Idempotent: r.Route.Idempotent,
 		Patience: int64(patience), Acceptance: acceptance, TraceParent: tracing.TraceParent(ctx)}
 	for name, values := range r.Header {
 		for _, v := range values {
-			q.Headers = append(q.Headers, &wire.HeaderField{Name: name, Value: v})
+			q.Headers = append(q.Headers, &wire.HeaderField{Name: []byte(name), Value: []byte(v)})
 		}
 	}
 	return s.gates.Offer(ctx, pl.Address.Addr(), q)
@@ -220,7 +220,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		p.reason = "the client left"
 	}
-	if peers.NotConnected(err) {
+	if peers.NotSent(err) {
 		return true
 	}
 	p.sent++
@@ -279,7 +279,7 @@
 func answerFromReply(reply *wire.RunReply) *message.Answer {
 	a := &message.Answer{Status: int(reply.GetStatus()), Header: make(http.Header), Body: reply.GetBody()}
 	for _, f := range reply.GetHeaders() {
-		a.Header.Add(f.GetName(), f.GetValue())
+		a.Header.Add(string(f.GetName()), string(f.GetValue()))
 	}
 	return a
 }
--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -48,6 +48,10 @@
 	endlessTime  = 10 * time.Second
 )
 
+// echoHeader is a header of a request that a healthy instance returns in its answer,
+// behind the target that it received.
+const echoHeader = "X-Echo"
+
 // Runs records the executions of requests at all instances.
 type Runs struct {
 	mu       sync.Mutex
@@ -213,6 +217,9 @@
 	default:
 		w.Header().Set("X-Cassiarack-Attempt-Id", attempt)
 		w.Header().Set("X-Cassiarack-Response-Signature", i.ID)
+		if echo := r.Header.Get(echoHeader); echo != "" {
+			w.Header().Set(echoHeader, r.RequestURI+" "+echo)
+		}
 		// An error means that the caller closed the connection, which is not a fault
 		// of the instance.
 		_, _ = io.WriteString(w, text)
