Place a request on one published state

Cause: relay.place read the published state for its candidates, and again when it met a new instance and dropped the state of those no longer published. Change: each decision reads the state once and passes it on. Looked at: gate, ingress and publication read it once for each decision.

Before: TestInstanceRemovedDuringPlacement panics. After: the package passes with the race detector.

--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -179,11 +179,12 @@
 // unknown. A condition with an old sequence number is ignored unless the last load
 // is older than loadValidity.
 func (s *Service) applyCondition(now time.Time, sender uint64, c *wire.Condition) {
-	entry, ok := s.publication.State().Instances[c.GetInstance()]
+	published := s.publication.State()
+	entry, ok := published.Instances[c.GetInstance()]
 	if !ok {
 		return
 	}
-	i := s.stateOf(entry)
+	i := s.stateOf(published, entry)
 	if sender != 0 && sender != i.gateIncarnation {
 		i.gateIncarnation, i.sequence = sender, 0
 	}
@@ -214,11 +215,13 @@
 // place chooses an instance and counts the request as outstanding there. It reports
 // false if no instance is available.
 func (s *Service) place(now time.Time, r *message.Request, excluded map[string]bool, tests bool) (chosenInstance, bool) {
-	list := s.publication.State().Services[r.Service]
+	// The state is read once: a removal in between must not affect this placement.
+	published := s.publication.State()
+	list := published.Services[r.Service]
 	known := make([]roster.Instance, 0, len(list))
 	candidates := make([]placement.Candidate, 0, len(list))
 	for _, entry := range list {
-		i := s.stateOf(entry)
+		i := s.stateOf(published, entry)
 		if entry.Draining || now.Before(i.leavingUntil) {
 			continue
 		}
@@ -244,22 +247,22 @@
 		evidence: candidates[c.Index].EvidenceAt}, true
 }
 
-// stateOf returns the state of an instance. A new incarnation gets a new state.
-func (s *Service) stateOf(entry roster.Instance) *instanceState {
+// stateOf returns the state of an instance of the published state. A new incarnation
+// gets a new state.
+func (s *Service) stateOf(published *publication.State, entry roster.Instance) *instanceState {
 	i := s.instances[entry.ID]
 	if i == nil || !i.startedAt.Equal(entry.StartedAt) {
 		i = &instanceState{id: entry.ID, startedAt: entry.StartedAt, filter: belief.Filter{Model: belief.DefaultModel}}
 		s.instances[entry.ID] = i
-		s.removeUnpublished()
+		s.removeUnpublished(published)
 	}
 	return i
 }
 
-// removeUnpublished removes the state of instances that are no longer published.
-func (s *Service) removeUnpublished() {
-	published := s.publication.State().Instances
+// removeUnpublished removes the state of instances that are not published.
+func (s *Service) removeUnpublished(published *publication.State) {
 	for id := range s.instances {
-		if _, ok := published[id]; !ok {
+		if _, ok := published.Instances[id]; !ok {
 			delete(s.instances, id)
 		}
 	}
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -176,3 +176,32 @@
 	}
 	is.Equal(offers, 1)
 }
+
+// changingPublication returns its states one after another, then the last one.
+type changingPublication struct{ states []*publication.State }
+
+func (c *changingPublication) State() *publication.State {
+	st := c.states[0]
+	if len(c.states) > 1 {
+		c.states = c.states[1:]
+	}
+	return st
+}
+
+// TestInstanceRemovedDuringPlacement guards against a process that ends by itself: the
+// published state changed while a request was placed, and the chosen instance,
+// which the new state lacked, had lost its state when it was counted.
+func TestInstanceRemovedDuringPlacement(t *testing.T) {
+	is := is.New(t)
+	s, f := start(t, nil)
+	a, b := f.state.Instances["a"], f.state.Instances["b"]
+	b.Draining = true
+	s.stateOf(f.state, a)
+	s.publication = &changingPublication{states: []*publication.State{
+		{Table: f.state.Table, Services: map[string][]roster.Instance{"s": {a, b}}, Instances: map[string]roster.Instance{"a": a, "b": b}},
+		{Table: f.state.Table, Services: map[string][]roster.Instance{"s": {b}}, Instances: map[string]roster.Instance{"b": b}},
+	}}
+	chosen, ok := s.place(time.Now(), request(true), nil, false)
+	is.True(ok)
+	is.Equal(chosen.ID, "a")
+}
