Add the types that keys and limits of organisations need

Cause: two customers share their services among many callers. The sidecar knows no caller, so keys, limits and fair shares have no place to stand.

Nothing uses them yet.

--- a/lib/decision/routing/routing.go
+++ b/lib/decision/routing/routing.go
@@ -4,6 +4,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"cassiarack.example/lib/decision/organisation"
 )
 
 // Configuration is what operators publish. It must not be changed after
@@ -13,6 +15,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations are the callers that share the services. Without any, requests need
+	// no key.
+	Organisations []organisation.Organisation
 }
 
 // Route says how requests to a host and path prefix are handled.
@@ -20,6 +25,8 @@
 	Name   string
 	Host   string
 	Prefix string
+	// Public is set if requests need no key of an organisation.
+	Public bool
 	// Idempotent is set if a request may run more than once.
 	Idempotent bool
 	// Timeout is the longest time for which a caller waits for an answer.
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/routing"
 )
 
@@ -25,6 +26,8 @@
 	Header http.Header
 	Body   []byte
 	Route  *routing.Route
+	// Organisation is the organisation whose key the client sent, or nil.
+	Organisation *organisation.Organisation
 	// ConfigVersion is the version of the configuration that contains the route.
 	ConfigVersion uint64
 	// Service is the destination chosen by the route's traffic split.
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -43,6 +43,16 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow time.Duration
+	// KeyRevocation is the time after the acknowledgement of a configuration that took a
+	// key away, after which no request with that key may run. Zero means that there is
+	// no such bound.
+	KeyRevocation time.Duration
+	// LimitWindow, LimitOver and LimitSlack say how far the limits of organisations may
+	// be exceeded over all sidecars: in any span of LimitWindow, an organisation gets at
+	// most 1 + LimitOver times its rate and burst, plus LimitSlack requests.
+	LimitWindow time.Duration
+	LimitOver   float64
+	LimitSlack  float64
 	// TraceEndpoint is the URL to which spans are sent as OTLP over HTTP. If it
 	// is empty, no spans are sent.
 	TraceEndpoint string
@@ -58,6 +68,8 @@
 	maxDuration         = time.Hour
 	maxMegabytes        = 1 << 20
 	maxSlack            = 1e6
+	defaultLimitWindow  = 5 * time.Second
+	maxOver             = 10
 )
 
 // Decode decodes the settings in text. The name of the file is used in errors.
@@ -81,6 +93,11 @@
 		RepeatWindow: o.Duration("repeatWindow", defaultRepeatWindow, time.Second, maxDuration),
 		LogLevel:     o.String("logLevel"),
 
+		KeyRevocation: o.Duration("keyRevocation", 0, 0, maxDuration),
+		LimitWindow:   o.Duration("limitWindow", defaultLimitWindow, time.Second, maxDuration),
+		LimitOver:     o.Float("limitOver", 0, 0, maxOver),
+		LimitSlack:    o.Float("limitSlack", 0, 0, maxSlack),
+
 		TraceEndpoint: o.String("traceEndpoint"),
 
 		MemoryMegabytes: o.Int("memoryMegabytes", 0, 0, maxMegabytes),
@@ -109,6 +126,10 @@
 		{"fleet", a.Fleet != b.Fleet},
 		{"metrics", a.Metrics != b.Metrics},
 		{"store", a.Store != b.Store},
+		{"keyRevocation", a.KeyRevocation != b.KeyRevocation},
+		{"limitWindow", a.LimitWindow != b.LimitWindow},
+		{"limitOver", a.LimitOver != b.LimitOver},
+		{"limitSlack", a.LimitSlack != b.LimitSlack},
 		{"stopTimeout", a.StopTimeout != b.StopTimeout},
 		{"traceEndpoint", a.TraceEndpoint != b.TraceEndpoint},
 	} {
