Charge calls of repeated runs to the budget for repeats

Change: an offer says whether it is a repeat. The gate knows which share of the runs at its instance are repeats, and each request from its VM is charged to the budget of its service with that probability.

--- a/lib/decision/retry/window.go
+++ b/lib/decision/retry/window.go
@@ -16,6 +16,8 @@
 
 	repeats  []time.Time
 	requests []time.Time
+	// charged is the part of a repeat that Charge has not counted yet.
+	charged float64
 }
 
 // RecordRequest counts a request that is not a repeat.
@@ -44,6 +46,16 @@
 	return true
 }
 
+// Charge counts a request that is probably a repeat, with the given probability. A call
+// that a repeated run makes is a repeat at the service that it calls, but a node only
+// knows which share of the runs at its instance are repeats.
+func (w *WindowBudget) Charge(now time.Time, probability float64) {
+	if w.charged += probability; w.charged >= 1 {
+		w.charged--
+		w.repeats = append(dropBefore(w.repeats, now.Add(-w.Length)), now)
+	}
+}
+
 // dropBefore returns the sorted times that are after start.
 func dropBefore(times []time.Time, start time.Time) []time.Time {
 	n := 0
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -70,6 +70,9 @@
 
 	commands  *ring.Ring[func(now time.Time)]
 	executing atomic.Int64
+	// repeating is the number of requests that run at the instance and that another
+	// instance got before.
+	repeating atomic.Int64
 	// stopped is closed when Run has returned and no command is handled any more.
 	stopped chan struct{}
 
@@ -180,6 +183,16 @@
 // Running returns the number of requests that run at the instance.
 func (s *Service) Running() int { return int(s.executing.Load()) }
 
+// RepeatShare returns the share of the requests that run at the instance which another
+// instance got before.
+func (s *Service) RepeatShare() float64 {
+	repeating, all := s.repeating.Load(), s.executing.Load()
+	if repeating == 0 || all == 0 {
+		return 0
+	}
+	return min(1, float64(repeating)/float64(all))
+}
+
 // tick closes the gate when that is due, starts waiting requests and refuses those
 // that can no longer be served in time.
 func (s *Service) tick(now time.Time) {
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -126,6 +126,10 @@
 	s.executing.Add(1)
 	defer s.executing.Add(-1)
 	r := j.request
+	if r.GetRepeat() {
+		s.repeating.Add(1)
+		defer s.repeating.Add(-1)
+	}
 	started := time.Now()
 	left := time.Duration(r.GetRemaining()) - started.Sub(received)
 	ctx, cancel := context.WithTimeout(ctx, left)
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -63,6 +63,13 @@
 	Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest) (*wire.RunReply, error)
 }
 
+// OwnGate is the gate of the instance on this VM.
+type OwnGate interface {
+	// RepeatShare returns the share of the requests that run at the instance which
+	// another instance got before.
+	RepeatShare() float64
+}
+
 // network implements Gates. It calls the gate on this VM directly and the gates on
 // other VMs over connections between sidecars.
 type network struct {
@@ -100,6 +107,7 @@
 
 	publication Publication
 	gates       Gates
+	ownGate     OwnGate
 	journal     *journal.Service
 
 	commands         *ring.Ring[func(now time.Time)]
@@ -140,7 +148,7 @@
 	if gates.own, err = kernel.Find[*gate.Service](dir, names.Gate); err != nil {
 		return err
 	}
-	s.gates = gates
+	s.gates, s.ownGate = gates, gates.own
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
@@ -296,6 +304,16 @@
 	return b
 }
 
+// recordRequest counts a request for the budget of its service. It may be a call of the
+// instance on this VM, and then a repeat if its run is one.
+func (s *Service) recordRequest(now time.Time, r *message.Request) {
+	b := s.budget(r.Service)
+	b.RecordRequest(now)
+	if share := s.ownGate.RepeatShare(); share > 0 {
+		b.Charge(now, share)
+	}
+}
+
 // SetRepeatBudget changes the budget for repeats that all sidecars share. It may be
 // called while the service runs.
 func (s *Service) SetRepeatBudget(ratio, slack float64, window time.Duration) {
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -32,10 +32,14 @@
 	// offer, in order.
 	reply func(instance string) (*wire.RunReply, error)
 	sent  []string
+	// repeatShare is the share of repeats among the runs of the own instance.
+	repeatShare float64
 }
 
 func (f *fakeFleet) State() *publication.State { return f.state }
 
+func (f *fakeFleet) RepeatShare() float64 { return f.repeatShare }
+
 func (f *fakeFleet) Offer(_ context.Context, _ netip.Addr, r *wire.RunRequest) (*wire.RunReply, error) {
 	f.sent = append(f.sent, r.GetInstance())
 	return f.reply(r.GetInstance())
@@ -52,7 +56,7 @@
 		f.state.Services["s"] = append(f.state.Services["s"], i)
 	}
 	s := &Service{RepeatRatio: 0.2, RepeatSlack: 64, RepeatWindow: 10 * time.Second, Scope: tally.NoopScope,
-		Random: rand.New(rand.NewPCG(1, 1)), Log: log.New(io.Discard), publication: f, gates: f,
+		Random: rand.New(rand.NewPCG(1, 1)), Log: log.New(io.Discard), publication: f, gates: f, ownGate: f,
 		journal: journal.New(io.Discard, log.InfoLevel), commands: ring.New[func(time.Time)](commandCapacity),
 		instances: map[string]*instanceState{}, budgets: map[string]*retry.WindowBudget{},
 		requestDurations: tally.NoopScope.Histogram("x", tally.DefaultBuckets)}
@@ -205,3 +209,25 @@
 	is.True(ok)
 	is.Equal(chosen.ID, "a")
 }
+
+// TestCallsOfRepeats guards against calls of repeated runs that do not count for the
+// budget: they are repeats at the service that they call.
+func TestCallsOfRepeats(t *testing.T) {
+	is := is.New(t)
+	s, f := start(t, func(string) (*wire.RunReply, error) {
+		return reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, 200, ""), nil
+	})
+	s.RepeatRatio, s.RepeatSlack = 0, 12
+	remaining := func() (left float64) {
+		is.NoErr(s.runAndWait(t.Context(), func(now time.Time) { left = s.budget("s").Remaining(now, s.slack()) }))
+		return left
+	}
+	before := remaining()
+	s.Serve(t.Context(), request(true))
+	is.Equal(remaining(), before) // no repeats run at the own instance
+	f.repeatShare = 0.5
+	for range 4 {
+		s.Serve(t.Context(), request(true))
+	}
+	is.Equal(remaining(), before-2)
+}
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -86,7 +86,7 @@
 func (s *Service) Serve(ctx context.Context, r *message.Request) *message.Answer {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(answerMargin))
 	defer cancel()
-	if err := s.runAndWait(ctx, func(now time.Time) { s.budget(r.Service).RecordRequest(now) }); err != nil {
+	if err := s.runAndWait(ctx, func(now time.Time) { s.recordRequest(now, r) }); err != nil {
 		return s.refuse(r, &progress{reason: err.Error()})
 	}
 	p := &progress{excluded: make(map[string]bool)}
@@ -202,7 +202,7 @@
 	q := &wire.RunRequest{Instance: pl.ID, Attempt: []byte(r.Attempt), Method: []byte(r.Method),
 		Target: []byte(r.Target), Host: []byte(r.Host), Body: r.Body, Remaining: int64(r.Deadline.Sub(now)), RemainingTarget: int64(r.TargetTime.Sub(now)),
 		Route: r.Route.Name, Priority: int32(r.Route.Priority), Idempotent: r.Route.Idempotent,
-		Patience: int64(patience), Acceptance: acceptance, TraceParent: tracing.TraceParent(ctx)}
+		Patience: int64(patience), Acceptance: acceptance, Repeat: p.sent+p.rejected > 0, TraceParent: tracing.TraceParent(ctx)}
 	for name, values := range r.Header {
 		for _, v := range values {
 			q.Headers = append(q.Headers, &wire.HeaderField{Name: []byte(name), Value: []byte(v)})
