--- a/lib/decision/routing/routing.go
+++ b/lib/decision/routing/routing.go
@@ -19,7 +19,7 @@
 	Services []Service
 	Limits   Limits
 	// Organisations are the callers that share the services. Without any, requests need
-	// no key.
+	// no key. Once a register of them is built, the list is no longer needed.
 	Organisations []organisation.Organisation
 }
 
@@ -77,6 +77,9 @@
 // Table finds routes. It is safe for concurrent use.
 type Table struct {
 	Configuration *Configuration
+	// Register holds the organisations of the configuration. It is nil if there are
+	// none. It is set before the first use of the table.
+	Register *organisation.Register
 
 	// hosts maps each host in lower case and each of its prefixes to a route.
 	hosts map[string]map[string]*Route
--- a/sidecar/publication/config.go
+++ b/sidecar/publication/config.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/platform"
 )
@@ -24,6 +25,14 @@
 	return c.table.Configuration.Version
 }
 
+// register returns the organisations of the configuration, or nil if there are none.
+func (c *configState) register() *organisation.Register {
+	if c.table == nil {
+		return nil
+	}
+	return c.table.Register
+}
+
 // applyConfig decodes a configuration document and publishes it if it is valid
 // and newer than the current one. The source is used for log lines.
 func (s *Service) applyConfig(text []byte, source string) {
@@ -31,17 +40,27 @@
 		return
 	}
 	c, err := platform.DecodeConfig(text)
+	if err == nil && c.Version <= s.config.version() {
+		return
+	}
+	var register *organisation.Register
+	if err == nil {
+		register, err = organisation.NewRegister(s.config.register(), c.Organisations)
+	}
 	if err != nil {
 		s.config.rejected = text
 		s.Scope.Counter("configurations_rejected").Inc(1)
 		s.Log.Error("A configuration was rejected.", "source", source, "inForce", s.config.version(), "err", err)
 		return
 	}
-	if c.Version <= s.config.version() {
-		return
-	}
-	s.config.table, s.config.document = routing.Compile(c), text
-	s.Log.Info("A configuration is in force.", "version", c.Version, "routes", len(c.Routes), "source", source)
+	// The register holds the organisations, which may be many.
+	c.Organisations = nil
+	table := routing.Compile(c)
+	table.Register = register
+	s.config.table, s.config.document = table, text
+	s.Log.Info("A configuration is in force.", "version", c.Version, "routes", len(c.Routes),
+		"organisations", register.Len(), "source", source)
 	s.Scope.Gauge("configuration_version").Update(float64(c.Version))
+	s.Scope.Gauge("organisations").Update(float64(register.Len()))
 	s.publish()
 }
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -95,6 +95,7 @@
 
 	watchers []func()
 	state    atomic.Pointer[State]
+	proof    atomic.Pointer[proof]
 	commands *ring.Ring[func(now time.Time)]
 
 	// Only the goroutine of Run uses the fields below.
@@ -124,6 +125,7 @@
 	}
 	s.commands = ring.New[func(time.Time)](commandCapacity)
 	s.state.Store(&State{})
+	s.proof.Store(&proof{changed: make(chan struct{})})
 	s.notices.Handle(s.handleAnnouncement)
 	s.notices.Handle(s.forward)
 	return wire.DRPCRegisterPublication(s.peers.Mux(), s)
@@ -191,7 +193,7 @@
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		p, err := s.Store.Read(call, func(text []byte) {
-			s.enqueue(ctx, func(done time.Time) { s.takeConfig(done, text) })
+			s.enqueue(ctx, func(done time.Time) { s.takeConfig(done, now, text) })
 		})
 		s.enqueue(ctx, func(done time.Time) {
 			s.reading = false
@@ -202,17 +204,19 @@
 			}
 			s.recordInvalid(p.Invalid, "store")
 			s.applyConfig(p.Config, "store")
+			s.prove(now)
 			s.applyChanges(s.roster.Replace(done, now, p.Instances), "store")
 			s.announce(done)
 		})
 	}()
 }
 
-// takeConfig applies a configuration from the store and announces a new one at once,
-// since the read of the other pages may take longer.
-func (s *Service) takeConfig(now time.Time, text []byte) {
+// takeConfig applies a configuration of a read that began at readAt, and announces a
+// new one at once, since the read of the other pages may take longer.
+func (s *Service) takeConfig(now, readAt time.Time, text []byte) {
 	before := s.config.version()
 	s.applyConfig(text, "store")
+	s.prove(readAt)
 	if s.config.version() > before && !s.roster.ReadAt().IsZero() {
 		s.announce(now)
 	}
@@ -370,6 +374,7 @@
 			}
 			return
 		}
+		s.prove(readAt)
 		s.confirm(readAt)
 	})
 	if err != nil {
@@ -397,7 +402,7 @@
 				s.Log.Warn("Published state could not be fetched.", "from", from, "err", err)
 				return
 			}
-			s.adoptSnapshot(done, from, r)
+			s.adoptSnapshot(done, now, from, r)
 		})
 	}()
 }
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -39,14 +39,18 @@
 	return reply
 }
 
-// adoptSnapshot applies the state of another sidecar where it is newer.
-func (s *Service) adoptSnapshot(now time.Time, from netip.Addr, r *wire.SnapshotReply) {
+// adoptSnapshot applies the state of another sidecar, which was asked at askedAt, where
+// it is newer.
+func (s *Service) adoptSnapshot(now, askedAt time.Time, from netip.Addr, r *wire.SnapshotReply) {
 	if len(r.GetConfig()) > 0 {
 		s.applyConfig(r.GetConfig(), from.String())
 	}
 	if r.GetAge() < 0 {
 		return
 	}
+	if r.GetConfigVersion() <= s.config.version() {
+		s.prove(askedAt.Add(-time.Duration(r.GetAge())))
+	}
 	list, invalid := decodeInstances(r.GetInstances())
 	s.recordInvalid(invalid, from.String())
 	s.applyChanges(s.roster.Adopt(now.Add(-time.Duration(r.GetAge())), list), from.String())
