Authenticate requests by the keys of organisations

Cause: nothing told callers apart, and Authorization went to the instance.

Change: the service authentication decides on each request between the route and the relay: it names the organisation, or refuses with 401 and a challenge. With keyRevocation, requests with keys get 503 and the sidecar is not ready while the proof is too old. An organisation header of a client is dropped on every route, and Authorization if there are organisations. Offers carry the organisation and its priority.

--- a/sidecar/admin/admin.go
+++ b/sidecar/admin/admin.go
@@ -16,6 +16,7 @@
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/service/metrics"
 	"cassiarack.example/platform"
+	"cassiarack.example/sidecar/authentication"
 	"cassiarack.example/sidecar/ingress"
 	"cassiarack.example/sidecar/journal"
 	"cassiarack.example/sidecar/names"
@@ -30,9 +31,10 @@
 	Ready, Metrics net.Listener
 	Log            *log.Logger
 
-	ingress *ingress.Service
-	metrics *metrics.Service
-	journal *journal.Service
+	ingress        *ingress.Service
+	authentication *authentication.Service
+	metrics        *metrics.Service
+	journal        *journal.Service
 }
 
 // Bind implements kernel.Service.
@@ -41,6 +43,9 @@
 	if s.ingress, err = kernel.Find[*ingress.Service](dir, names.Ingress); err != nil {
 		return err
 	}
+	if s.authentication, err = kernel.Find[*authentication.Service](dir, names.Authentication); err != nil {
+		return err
+	}
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
@@ -75,7 +80,7 @@
 
 // serveReady answers 200 if the sidecar accepts new work and 503 otherwise.
 func (s *Service) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.ingress.Ready() {
+	if !s.ingress.Ready() || !s.authentication.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/kernel"
@@ -37,11 +38,15 @@
 	running   atomic.Int64
 }
 
-func (f *fakeServices) Bind(*kernel.Directory) error                  { return nil }
-func (f *fakeServices) Run(ctx context.Context) error                 { <-ctx.Done(); return nil }
-func (f *fakeServices) State() *publication.State                     { return f.state }
-func (f *fakeServices) RecordNestedFailure(time.Time)                 {}
-func (f *fakeServices) Running() int                                  { return int(f.running.Load()) }
+func (f *fakeServices) Bind(*kernel.Directory) error  { return nil }
+func (f *fakeServices) Run(ctx context.Context) error { <-ctx.Done(); return nil }
+func (f *fakeServices) State() *publication.State     { return f.state }
+func (f *fakeServices) RecordNestedFailure(time.Time) {}
+func (f *fakeServices) Running() int                  { return int(f.running.Load()) }
+func (f *fakeServices) Authenticate(context.Context, http.Header, *routing.Route, *routing.Table,
+	time.Time) (*organisation.Organisation, *message.Answer) {
+	return nil, nil
+}
 func (f *fakeServices) AllowRequestLine(time.Time, string, bool) bool { return false }
 
 // Serve returns a response that contains the target, after the delay that the
@@ -96,8 +101,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	k := &kernel.Kernel{Log: log.New(io.Discard), DrainTimeout: 5 * time.Second, Registrations: []kernel.Registration{
 		{Name: names.Publication, Service: f}, {Name: names.Relay, Service: f}, {Name: names.Gate, Service: f},
-		{Name: names.Journal, Service: f},
-		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal}, Service: s}}}
+		{Name: names.Journal, Service: f}, {Name: names.Authentication, Service: f},
+		{Name: names.Ingress, Service: s,
+			Needs: []string{names.Publication, names.Authentication, names.Relay, names.Gate, names.Journal}}}}
 	done := make(chan error, 1)
 	go func() { done <- k.Run(ctx) }()
 	t.Cleanup(func() {
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -10,6 +10,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"cassiarack.example/lib/decision/organisation"
+	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/tracing"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/message"
@@ -29,9 +31,9 @@
 	return a
 }
 
-// answer finds the route of a request and returns the response of the relay.
-// Requests without a configuration or a route, and those that arrive too late
-// in a shutdown, are refused.
+// answer finds the route and the organisation of a request and returns the response
+// of the relay. Requests without a configuration, a route or a required key, and those
+// that arrive too late in a shutdown, are refused.
 func (s *Service) answer(ctx context.Context, attempt string, head *http.Request, body []byte,
 	received time.Time) *message.Answer {
 	table := s.publication.State().Table
@@ -60,6 +62,10 @@
 	if d, ok := platform.Deadline(head.Header); ok && d < route.Timeout {
 		deadline = received.Add(d)
 	}
+	caller, refused := s.authenticate(ctx, head.Header, route, table, received, deadline)
+	if refused != nil {
+		return refused
+	}
 	if !s.admits(deadline) {
 		if s.journal.AllowRequestLine(received, attempt, false) {
 			s.Log.Info("A request was refused.", "request", attempt, "reason", "the sidecar stops", "route", route.Name)
@@ -69,8 +75,8 @@
 	}
 	a := s.relay.Serve(ctx, &message.Request{
 		Attempt: attempt, Method: head.Method, Target: target, Host: head.Host,
-		Header: platform.RequestHeader(head.Header, s.CallerService), Body: body,
-		Route: route, ConfigVersion: table.Configuration.Version, Service: s.chooseService(table, route),
+		Header: platform.RequestHeader(head.Header, s.sender(table, caller)), Body: body,
+		Organisation: caller, HasOrganisations: table.Register != nil, Route: route, ConfigVersion: table.Configuration.Version, Service: s.chooseService(table, route),
 		Received: received, Deadline: s.deadlineInStop(deadline), TargetTime: received.Add(route.TargetLatency),
 	})
 	if a.Status >= http.StatusInternalServerError {
@@ -79,6 +85,24 @@
 	return a
 }
 
+// authenticate returns the organisation of a request, or the response to a request that
+// is refused. It waits for that at most until the deadline of the request.
+func (s *Service) authenticate(ctx context.Context, header http.Header, route *routing.Route, table *routing.Table,
+	received, deadline time.Time) (*organisation.Organisation, *message.Answer) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return s.authentication.Authenticate(ctx, header, route, table, received)
+}
+
+// sender returns what an instance is told about the sender of a request.
+func (s *Service) sender(table *routing.Table, caller *organisation.Organisation) platform.Sender {
+	from := platform.Sender{Service: s.CallerService, Keyed: table.Register != nil}
+	if caller != nil {
+		from.Organisation = caller.Name
+	}
+	return from
+}
+
 const tracerName = "cassiarack/ingress"
 
 // retryAfter is the Retry-After time of a refusal, after which a sidecar that
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cassiarack.example/lib/clock"
+	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/sidecar/memory"
@@ -62,6 +64,14 @@
 	Serve(ctx context.Context, r *message.Request) *message.Answer
 }
 
+// Authentication finds the organisations of requests.
+type Authentication interface {
+	// Authenticate returns the organisation of a request, or nil if it has none, or the
+	// response to a request that is refused.
+	Authenticate(ctx context.Context, header http.Header, route *routing.Route, table *routing.Table,
+		received time.Time) (*organisation.Organisation, *message.Answer)
+}
+
 // Gate is the access to the instance on this VM.
 type Gate interface {
 	// RecordNestedFailure records that a request failed which may be a call by
@@ -87,10 +97,11 @@
 	Scope  tally.Scope
 	Log    *log.Logger
 
-	publication Publication
-	relay       Relay
-	gate        Gate
-	journal     Journal
+	publication    Publication
+	authentication Authentication
+	relay          Relay
+	gate           Gate
+	journal        Journal
 
 	draining atomic.Bool
 	// intakeClosed is set when no further requests are accepted.
@@ -119,6 +130,9 @@
 	if s.publication, err = kernel.Find[Publication](dir, names.Publication); err != nil {
 		return err
 	}
+	if s.authentication, err = kernel.Find[Authentication](dir, names.Authentication); err != nil {
+		return err
+	}
 	if s.relay, err = kernel.Find[Relay](dir, names.Relay); err != nil {
 		return err
 	}
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -28,6 +28,8 @@
 	Route  *routing.Route
 	// Organisation is the organisation whose key the client sent, or nil.
 	Organisation *organisation.Organisation
+	// HasOrganisations is set if the configuration has organisations.
+	HasOrganisations bool
 	// ConfigVersion is the version of the configuration that contains the route.
 	ConfigVersion uint64
 	// Service is the destination chosen by the route's traffic split.
--- a/sidecar/names/names.go
+++ b/sidecar/names/names.go
@@ -4,14 +4,15 @@
 
 // Names of the services of a sidecar.
 const (
-	Metrics     = "metrics"
-	Journal     = "journal"
-	Peers       = "peers"
-	Notices     = "notices"
-	Publication = "publication"
-	Gate        = "gate"
-	Relay       = "relay"
-	Ingress     = "ingress"
-	Admin       = "admin"
-	Settings    = "settings"
+	Metrics        = "metrics"
+	Journal        = "journal"
+	Peers          = "peers"
+	Notices        = "notices"
+	Publication    = "publication"
+	Authentication = "authentication"
+	Gate           = "gate"
+	Relay          = "relay"
+	Ingress        = "ingress"
+	Admin          = "admin"
+	Settings       = "settings"
 )
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -202,7 +202,11 @@
 	q := &wire.RunRequest{Instance: pl.ID, Attempt: []byte(r.Attempt), Method: []byte(r.Method),
 		Target: []byte(r.Target), Host: []byte(r.Host), Body: r.Body, Remaining: int64(r.Deadline.Sub(now)), RemainingTarget: int64(r.TargetTime.Sub(now)),
 		Route: r.Route.Name, Priority: int32(r.Route.Priority), Idempotent: r.Route.Idempotent,
-		Patience: int64(patience), Acceptance: acceptance, TraceParent: tracing.TraceParent(ctx)}
+		Patience: int64(patience), Acceptance: acceptance, TraceParent: tracing.TraceParent(ctx),
+		WithoutOrganisation: r.HasOrganisations && r.Organisation == nil}
+	if o := r.Organisation; o != nil {
+		q.Organisation, q.OrganisationPriority = []byte(o.Name), int32(o.Priority)
+	}
 	for name, values := range r.Header {
 		for _, v := range values {
 			q.Headers = append(q.Headers, &wire.HeaderField{Name: []byte(name), Value: []byte(v)})
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -22,6 +22,7 @@
 	"cassiarack.example/lib/tracing"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/admin"
+	"cassiarack.example/sidecar/authentication"
 	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/ingress"
 	"cassiarack.example/sidecar/journal"
@@ -183,10 +184,12 @@
 			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
-		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
+		{Name: names.Authentication, Needs: []string{names.Publication, names.Journal}, Service: &authentication.Service{
+			KeyRevocation: s.KeyRevocation, Now: time.Now, Scope: scope, Log: j.Logger("authentication")}},
+		{Name: names.Ingress, Needs: []string{names.Publication, names.Authentication, names.Relay, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: bodyPool(s), Scope: scope,
 				Log: j.Logger("ingress")}},
-		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
+		{Name: names.Admin, Needs: []string{names.Ingress, names.Authentication, names.Metrics, names.Journal}, Service: &admin.Service{
 			Ready: l.ready, Metrics: l.metrics, Log: j.Logger("admin")}},
 	}
 }
