Test keys of organisations

Cause: the authentication of requests had no tests of its own.

Labels of the counter have no spaces.

--- a/sidecar/authentication/authentication.go
+++ b/sidecar/authentication/authentication.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -147,7 +148,7 @@
 		x.request.Presented = organisation.Unknown
 	}
 	reason := s.settle(ctx, x)
-	s.Scope.Tagged(map[string]string{"result": reason}).Counter("authentications").Inc(1)
+	s.Scope.Tagged(map[string]string{"result": strings.ReplaceAll(reason, " ", "_")}).Counter("authentications").Inc(1)
 	if x.verdict == organisation.Authenticated || x.verdict == organisation.Anonymous {
 		return x.organisation, nil
 	}
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -47,7 +47,7 @@
 	time.Time) (*organisation.Organisation, *message.Answer) {
 	return nil, nil
 }
-func (f *fakeServices) AllowRequestLine(time.Time, string, bool) bool { return false }
+func (f *fakeServices) AllowRequestLine(time.Time, string, bool) bool { return true }
 
 // Serve returns a response that contains the target, after the delay that the
 // query gives, if any. It sends the target to cancelled if the request is
@@ -89,10 +89,20 @@
 // address and a function that starts a shutdown.
 func startIngress(t *testing.T) (*Service, *fakeServices, string, context.CancelFunc) {
 	t.Helper()
-	f := &fakeServices{cancelled: make(chan string, 10), state: &publication.State{Table: routing.Compile(&routing.Configuration{
-		Version: 1, Limits: routing.Limits{HeaderBytes: 512, BodyBytes: 64},
+	f := newFakeServices(&routing.Configuration{Version: 1, Limits: routing.Limits{HeaderBytes: 512, BodyBytes: 64},
 		Routes: []routing.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Timeout: 5 * time.Second,
-			Destinations: []routing.Destination{{Service: "s", Weight: 1}}}}})}}
+			Destinations: []routing.Destination{{Service: "s", Weight: 1}}}}})
+	s, address, cancel := startWith(t, f, f)
+	return s, f, address, cancel
+}
+
+func newFakeServices(c *routing.Configuration) *fakeServices {
+	return &fakeServices{cancelled: make(chan string, 10), state: &publication.State{Table: routing.Compile(c)}}
+}
+
+// startWith runs an ingress with fake services and the given authentication.
+func startWith(t *testing.T, f *fakeServices, authentication kernel.Service) (*Service, string, context.CancelFunc) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -101,7 +111,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	k := &kernel.Kernel{Log: log.New(io.Discard), DrainTimeout: 5 * time.Second, Registrations: []kernel.Registration{
 		{Name: names.Publication, Service: f}, {Name: names.Relay, Service: f}, {Name: names.Gate, Service: f},
-		{Name: names.Journal, Service: f}, {Name: names.Authentication, Service: f},
+		{Name: names.Journal, Service: f},
+		{Name: names.Authentication, Needs: []string{names.Publication, names.Journal}, Service: authentication},
 		{Name: names.Ingress, Service: s,
 			Needs: []string{names.Publication, names.Authentication, names.Relay, names.Gate, names.Journal}}}}
 	done := make(chan error, 1)
@@ -112,7 +123,7 @@
 			t.Error(err)
 		}
 	})
-	return s, f, l.Addr().String(), cancel
+	return s, l.Addr().String(), cancel
 }
 
 func dial(t *testing.T, address string) net.Conn {
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -374,7 +374,9 @@
 			}
 			return
 		}
-		s.prove(readAt)
+		if a.GetConfigVersion() == s.config.version() {
+			s.prove(readAt)
+		}
 		s.confirm(readAt)
 	})
 	if err != nil {
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -48,7 +48,7 @@
 	if r.GetAge() < 0 {
 		return
 	}
-	if r.GetConfigVersion() <= s.config.version() {
+	if r.GetConfigVersion() == s.config.version() {
 		s.prove(askedAt.Add(-time.Duration(r.GetAge())))
 	}
 	list, invalid := decodeInstances(r.GetInstances())
