--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -14,9 +15,11 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/retry"
 	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/decision/routing"
+	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/gate"
@@ -32,12 +35,14 @@
 	// offer, in order.
 	reply func(instance string) (*wire.RunReply, error)
 	sent  []string
+	// last is the last offer.
+	last *wire.RunRequest
 }
 
 func (f *fakeFleet) State() *publication.State { return f.state }
 
 func (f *fakeFleet) Offer(_ context.Context, _ netip.Addr, r *wire.RunRequest) (*wire.RunReply, error) {
-	f.sent = append(f.sent, r.GetInstance())
+	f.sent, f.last = append(f.sent, r.GetInstance()), r
 	return f.reply(r.GetInstance())
 }
 
@@ -205,3 +210,26 @@
 	is.True(ok)
 	is.Equal(chosen.ID, "a")
 }
+
+// TestOrganisation guards against offers that name no organisation, or that count
+// requests without one as those of a deployment without organisations.
+func TestOrganisation(t *testing.T) {
+	var b strings.Builder
+	for _, tc := range []struct {
+		name             string
+		organisation     *organisation.Organisation
+		hasOrganisations bool
+	}{
+		{"no organisations", nil, false},
+		{"without an organisation", nil, true},
+		{"organisation", &organisation.Organisation{Name: "a", Priority: 3}, true},
+	} {
+		s, f := start(t, func(string) (*wire.RunReply, error) { return reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, 200, ""), nil })
+		r := request(false)
+		r.Organisation, r.HasOrganisations = tc.organisation, tc.hasOrganisations
+		s.Serve(t.Context(), r)
+		fmt.Fprintf(&b, "%s: name %q, priority %d, without %t\n", tc.name, f.last.GetOrganisation(), f.last.GetOrganisationPriority(),
+			f.last.GetWithoutOrganisation())
+	}
+	golden.Check(t, "organisation", b.String())
+}
