Publish organisations in the mesh of real processes

Cause: no test with real processes had organisations with keys.

Change: the stand-in publishes organisations and public routes, its clients send keys and a forged name, and its instances check that they get the name of the key's organisation and no key. TestOrganisations looks for keys in logs, metrics and spans, and publishes and revokes a key; TestStaleConfiguration takes the store away for longer than keyRevocation.

TestOrganisations fails if a sidecar keeps either header, or answers unknown keys at once; TestStaleConfiguration fails without the check of the age.

--- a/standin/mesh/check.go
+++ b/standin/mesh/check.go
@@ -97,8 +97,8 @@
 		path = "/other/"
 	}
 	request := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: mesh.example\r\nX-Cassiarack-Attempt-Id: %s\r\nX-Cassiarack-Deadline-Ms: %d\r\n"+
-		"X-Cassiarack-Caller-Service: forged\r\nContent-Length: %d\r\n\r\n%s", method, path, attempt, attempt,
-		clientDeadline.Milliseconds(), len(text), text)
+		"X-Cassiarack-Caller-Service: forged\r\n%sContent-Length: %d\r\n\r\n%s", method, path, attempt, attempt,
+		clientDeadline.Milliseconds(), m.callerHeaders(attempt), len(text), text)
 	began := time.Now()
 	if err := c.SetDeadline(began.Add(clientDeadline + answerSlack)); err != nil {
 		return false
--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -56,6 +56,8 @@
 type Runs struct {
 	mu       sync.Mutex
 	attempts map[string][]run
+	// organisations holds the name of the organisation of each attempt that has one.
+	organisations map[string]string
 	// violations describes each violation of a guarantee that an instance saw.
 	violations []string
 }
@@ -69,7 +71,9 @@
 }
 
 // NewRuns returns a record without executions.
-func NewRuns() *Runs { return &Runs{attempts: make(map[string][]run)} }
+func NewRuns() *Runs {
+	return &Runs{attempts: make(map[string][]run), organisations: make(map[string]string)}
+}
 
 // add records an execution of an attempt.
 func (r *Runs) add(attempt, instance, traceParent string) {
@@ -166,6 +170,7 @@
 	if got := r.Header.Get("X-Cassiarack-Caller-Service"); got == "" || got == "forged" {
 		i.Runs.addViolation("caller: attempt %s has a missing or forged caller service: %q", attempt, got)
 	}
+	i.Runs.checkCaller(attempt, r.Header)
 	if rand.IntN(2) == 0 {
 		mode = Healthy
 	}
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -87,6 +87,12 @@
 	DirectStore bool
 	// Work is the mean run time of a request; zero means instanceWork.
 	Work time.Duration
+	// Organisations are published with the configuration; PublicRoutes are the names of
+	// the routes that need no key. Change them with Publish after Start.
+	Organisations []Organisation
+	PublicRoutes  []string
+	// KeyRevocation is the setting of that name of the sidecars; zero means no bound.
+	KeyRevocation time.Duration
 	// TraceEndpoint is the URL to which the sidecars send spans; empty means none.
 	TraceEndpoint string
 
@@ -143,7 +149,7 @@
 func (m *Mesh) Configure(add []route) {
 	m.version += 1 + rand.IntN(3)
 	m.routes = append(m.routes, add...)
-	m.Store.Put("op/config", configDocument(m.version, m.routes, []string{"alpha", "beta"}))
+	m.Store.Put("op/config", m.configDocument([]string{"alpha", "beta"}))
 }
 
 // addVM adds a VM of a service and starts its instance and its proxies, but not its
@@ -211,9 +217,9 @@
 		store = m.address(250, portCallers).String()
 	}
 	settings := fmt.Sprintf(`{"name":"vm%d","dataCentre":%q,"service":%q,"instance":%q,"callers":%q,"ready":%q,"fleet":%q,
-"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","memoryMegabytes":%d,"traceEndpoint":%q}`, v.Index, v.DataCentre,
+"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","memoryMegabytes":%d,"traceEndpoint":%q,"keyRevocation":%q}`, v.Index, v.DataCentre,
 		v.Instance.Service, m.address(v.Index, portProxy), m.address(v.Index, portCallers), m.address(v.Index, portReady),
-		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), store, cmp.Or(m.StopTimeout, graceTime), m.MemoryMegabytes, m.TraceEndpoint)
+		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), store, cmp.Or(m.StopTimeout, graceTime), m.MemoryMegabytes, m.TraceEndpoint, m.KeyRevocation)
 	path := filepath.Join(m.Folder, fmt.Sprintf("vm%d.jsonc", v.Index))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
--- a/standin/mesh/store.go
+++ b/standin/mesh/store.go
@@ -194,19 +194,19 @@
 	attempts                    int
 }
 
-// configDocument returns a configuration document.
-func configDocument(version int, routes []route, services []string) []byte {
+// configDocument returns the document of the current configuration.
+func (m *Mesh) configDocument(services []string) []byte {
 	var rows, names []string
-	for _, r := range routes {
-		rows = append(rows, fmt.Sprintf(`[%q,"mesh.example",%q,%q,%g,0.8,1,%q,%d,null]`, r.name, r.prefix, r.kind,
-			r.timeout.Seconds(), r.service, r.attempts))
+	for _, r := range m.routes {
+		rows = append(rows, fmt.Sprintf(`[%q,"mesh.example",%q,%q,%g,0.8,1,%q,%d,null,%t]`, r.name, r.prefix, r.kind,
+			r.timeout.Seconds(), r.service, r.attempts, slices.Contains(m.PublicRoutes, r.name)))
 	}
 	for _, s := range services {
 		names = append(names, fmt.Sprintf(`[%q,"/healthz",390]`, s))
 	}
 	return fmt.Appendf(nil, `{"version":"r%d","routes":{"columns":["name","host","path_prefix","kind","timeout_s",`+
-		`"target_latency_s","priority","service","attempts","weighted_split"],"rows":[%s]},`+
-		`"services":{"columns":["name","health_path","max_connections"],"rows":[%s]},`+
+		`"target_latency_s","priority","service","attempts","weighted_split","public"],"rows":[%s]},`+
+		`"services":{"columns":["name","health_path","max_connections"],"rows":[%s]},"tenants":%s,`+
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}`,
-		version, strings.Join(rows, ","), strings.Join(names, ","))
+		m.version, strings.Join(rows, ","), strings.Join(names, ","), organisationsDocument(m.Organisations))
 }
