Keep a proof of the age of the configuration

Without the setting no message grows and none is added; the proof then follows the reads and announcements that there are anyway.

A document of the store that is rejected confirms the configuration in force, as the rejection leaves it in force.

go test -race ./publication ./notice passes.

--- a/sidecar/publication/config.go
+++ b/sidecar/publication/config.go
@@ -25,23 +25,29 @@
 }
 
 // applyConfig decodes a configuration document and publishes it if it is valid
-// and newer than the current one. The source is used for log lines.
-func (s *Service) applyConfig(text []byte, source string) {
-	if len(text) == 0 || bytes.Equal(text, s.config.document) || bytes.Equal(text, s.config.rejected) {
-		return
+// and newer than the current one. The source is used for log lines. It returns the
+// version that the document confirms, or zero. An invalid document leaves the
+// configuration in force as it is, and confirms its version.
+func (s *Service) applyConfig(text []byte, source string) uint64 {
+	if len(text) == 0 {
+		return 0
+	}
+	if bytes.Equal(text, s.config.document) || bytes.Equal(text, s.config.rejected) {
+		return s.config.version()
 	}
 	c, err := platform.DecodeConfig(text)
 	if err != nil {
 		s.config.rejected = text
 		s.Scope.Counter("configurations_rejected").Inc(1)
 		s.Log.Error("A configuration was rejected.", "source", source, "inForce", s.config.version(), "err", err)
-		return
+		return s.config.version()
 	}
 	if c.Version <= s.config.version() {
-		return
+		return c.Version
 	}
 	s.config.table, s.config.document = routing.Compile(c), text
 	s.Log.Info("A configuration is in force.", "version", c.Version, "routes", len(c.Routes), "source", source)
 	s.Scope.Gauge("configuration_version").Update(float64(c.Version))
 	s.publish()
+	return c.Version
 }
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -19,6 +19,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/freshness"
 	"cassiarack.example/lib/decision/poll"
 	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/decision/routing"
@@ -87,8 +88,13 @@
 	// Port is the port on which other sidecars accept calls.
 	Port   uint16
 	Random *rand.Rand
-	Scope  tally.Scope
-	Log    *log.Logger
+	// KeyRevocation is the age from which the configuration may not be used for keys.
+	// With zero there is no such age, and no messages about it are sent.
+	KeyRevocation time.Duration
+	// Boot returns the time of the boot clock; nil means clock.Boot.
+	Boot  func() time.Time
+	Scope tally.Scope
+	Log   *log.Logger
 
 	peers   *peers.Service
 	notices *notice.Service
@@ -96,6 +102,7 @@
 	watchers []func()
 	state    atomic.Pointer[State]
 	commands *ring.Ring[func(now time.Time)]
+	proof    atomic.Pointer[proofState]
 
 	// Only the goroutine of Run uses the fields below.
 	roster          roster.Roster
@@ -111,6 +118,10 @@
 	// lastUnused those that were last logged as not used.
 	lastInvalid string
 	lastUnused  string
+	clocks      freshness.Clocks[netip.Addr]
+	questions   freshness.Questions[netip.Addr]
+	// proofTooOld is set while the proof is older than KeyRevocation allows.
+	proofTooOld bool
 }
 
 // Bind implements kernel.Service.
@@ -124,8 +135,11 @@
 	}
 	s.commands = ring.New[func(time.Time)](commandCapacity)
 	s.state.Store(&State{})
+	s.initProof()
 	s.notices.Handle(s.handleAnnouncement)
 	s.notices.Handle(s.forward)
+	s.notices.Handle(s.handleClockRequest)
+	s.notices.Handle(s.handleClockReply)
 	return wire.DRPCRegisterPublication(s.peers.Mux(), s)
 }
 
@@ -168,6 +182,7 @@
 	if s.stale(now) && !s.fetching && len(s.remotePeers) > 0 && now.After(s.fetchAfter) {
 		s.fetchSnapshot(ctx, now, s.remotePeers[s.Random.IntN(len(s.remotePeers))])
 	}
+	s.checkProof(s.Boot())
 }
 
 func (s *Service) stale(now time.Time) bool { return now.Sub(s.roster.ReadAt()) > staleLimit }
@@ -187,11 +202,12 @@
 // readStore starts a read of the store, then applies and announces the result.
 func (s *Service) readStore(ctx context.Context, now time.Time) {
 	s.reading = true
+	began := s.Boot()
 	go func() {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		p, err := s.Store.Read(call, func(text []byte) {
-			s.enqueue(ctx, func(done time.Time) { s.takeConfig(done, text) })
+			s.enqueue(ctx, func(done time.Time) { s.takeConfig(done, began, text) })
 		})
 		s.enqueue(ctx, func(done time.Time) {
 			s.reading = false
@@ -201,7 +217,7 @@
 				return
 			}
 			s.recordInvalid(p.Invalid, "store")
-			s.applyConfig(p.Config, "store")
+			s.applyStoreConfig(began, p.Config)
 			s.applyChanges(s.roster.Replace(done, now, p.Instances), "store")
 			s.announce(done)
 		})
@@ -209,10 +225,11 @@
 }
 
 // takeConfig applies a configuration from the store and announces a new one at once,
-// since the read of the other pages may take longer.
-func (s *Service) takeConfig(now time.Time, text []byte) {
+// since the read of the other pages may take longer. The read began at the boot time
+// began.
+func (s *Service) takeConfig(now, began time.Time, text []byte) {
 	before := s.config.version()
-	s.applyConfig(text, "store")
+	s.applyStoreConfig(began, text)
 	if s.config.version() > before && !s.roster.ReadAt().IsZero() {
 		s.announce(now)
 	}
@@ -301,6 +318,7 @@
 	}
 	st.DataCentrePeers, st.RemotePeers = s.dataCentrePeers, slices.Collect(maps.Values(remote))
 	s.state.Store(st)
+	s.clocks.Retain(func(a netip.Addr) bool { return slices.Contains(st.Peers, a) })
 	for _, f := range s.watchers {
 		f()
 	}
@@ -339,11 +357,13 @@
 // announce sends the age, digest and version of the known state to the sidecars
 // of the data centre.
 func (s *Service) announce(now time.Time) {
-	s.notices.Send(&wire.Notice{Announcement: &wire.Announcement{
+	a := &wire.Announcement{
 		Age:           int64(now.Sub(s.roster.ReadAt())),
 		RosterDigest:  s.roster.Digest(),
 		ConfigVersion: s.config.version(),
-	}}, s.dataCentrePeers)
+	}
+	s.addProof(a)
+	s.notices.Send(&wire.Notice{Announcement: a}, s.dataCentrePeers)
 }
 
 // forward passes a notice of another data centre on to the sidecars of this one, if
@@ -362,7 +382,9 @@
 	if a == nil || a.GetAge() < 0 {
 		return
 	}
+	arrived, incarnation := s.Boot(), n.GetIncarnation()
 	err := s.commands.Offer(func(now time.Time) {
+		s.proveByAnnouncement(arrived, from, incarnation, a)
 		readAt := received.Add(-time.Duration(a.GetAge()))
 		if a.GetConfigVersion() > s.config.version() || a.GetRosterDigest() != s.roster.Digest() {
 			if a.GetConfigVersion() > s.config.version() || readAt.After(s.roster.ReadAt()) {
@@ -385,7 +407,7 @@
 	}
 	s.fetching = true
 	s.fetchAfter = now.Add(fetchTimeout)
-	version := s.config.version()
+	version, asked := s.config.version(), s.Boot()
 	go func() {
 		call, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
@@ -397,7 +419,7 @@
 				s.Log.Warn("Published state could not be fetched.", "from", from, "err", err)
 				return
 			}
-			s.adoptSnapshot(done, from, r)
+			s.adoptSnapshot(done, asked, from, r)
 		})
 	}()
 }
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -28,6 +28,9 @@
 	if !s.roster.ReadAt().IsZero() {
 		reply.Age = int64(now.Sub(s.roster.ReadAt()))
 	}
+	if s.KeyRevocation > 0 {
+		reply.ConfigAge = int64(s.proofOf(s.config.version()).Statement(s.Boot()).Age)
+	}
 	if s.config.version() > known {
 		reply.Config = s.config.document
 	}
@@ -39,11 +42,13 @@
 	return reply
 }
 
-// adoptSnapshot applies the state of another sidecar where it is newer.
-func (s *Service) adoptSnapshot(now time.Time, from netip.Addr, r *wire.SnapshotReply) {
+// adoptSnapshot applies the state of another sidecar where it is newer. The sidecar was
+// asked at the boot time asked.
+func (s *Service) adoptSnapshot(now, asked time.Time, from netip.Addr, r *wire.SnapshotReply) {
 	if len(r.GetConfig()) > 0 {
 		s.applyConfig(r.GetConfig(), from.String())
 	}
+	s.proveBySnapshot(asked, r)
 	if r.GetAge() < 0 {
 		return
 	}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -175,7 +175,7 @@
 			Scope: scope, Log: j.Logger("notice")}},
 		{Name: names.Publication, Needs: []string{names.Peers, names.Notices}, Service: &publication.Service{
 			Store: store, Self: s.Fleet.Addr(), DataCentre: s.DataCentre, Port: port, Random: random(), Scope: scope,
-			Log: j.Logger("publication")}},
+			KeyRevocation: s.KeyRevocation, Log: j.Logger("publication")}},
 		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
 			Instance: s.Instance, Answers: bodyPool(s), MinStopTime: ingress.MinDrainTime, Random: random(),
 			Scope: scope, Log: j.Logger("gate")}},
