Report not ready while the configuration is too old for keys

A sidecar that refuses all requests with keys would otherwise stay in the platform's list of sidecars that take new work. Without organisations in the configuration, readiness does not depend on the age.

go test -race -run TestReady ./ingress passes.

--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/kernel"
@@ -35,11 +36,13 @@
 	requests  []*message.Request
 	cancelled chan string
 	running   atomic.Int64
+	stale     atomic.Bool
 }
 
 func (f *fakeServices) Bind(*kernel.Directory) error                  { return nil }
 func (f *fakeServices) Run(ctx context.Context) error                 { <-ctx.Done(); return nil }
 func (f *fakeServices) State() *publication.State                     { return f.state }
+func (f *fakeServices) FreshFor(uint64, time.Time) bool               { return !f.stale.Load() }
 func (f *fakeServices) RecordNestedFailure(time.Time)                 {}
 func (f *fakeServices) Running() int                                  { return int(f.running.Load()) }
 func (f *fakeServices) AllowRequestLine(time.Time, string, bool) bool { return false }
@@ -441,3 +444,20 @@
 	is.Equal(s.Bodies.Used(), int64(0))
 	is.Equal(len(f.requests), 1) // the refused requests were not forwarded
 }
+
+// TestReady guards against a sidecar that is ready although it refuses all requests
+// with keys, and against one that is not ready for a reason that concerns only keys.
+func TestReady(t *testing.T) {
+	is := is.New(t)
+	f := &fakeServices{state: &publication.State{}}
+	s := &Service{publication: f}
+	is.True(!s.Ready())
+	f.state.Table = routing.Compile(&routing.Configuration{Version: 1})
+	is.True(s.Ready())
+	f.stale.Store(true)
+	is.True(s.Ready())
+	f.state.Table.Configuration.Organisations = []organisation.Organisation{{Name: "o"}}
+	is.True(!s.Ready())
+	f.stale.Store(false)
+	is.True(s.Ready())
+}
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -55,6 +55,9 @@
 // platform publishes.
 type Publication interface {
 	State() *publication.State
+	// FreshFor reports whether a version of the configuration is recent enough for
+	// keys at the boot time now.
+	FreshFor(version uint64, now time.Time) bool
 }
 
 // Relay forwards requests to instances.
@@ -165,9 +168,16 @@
 	return nil
 }
 
-// Ready reports whether the sidecar accepts new work: it has a configuration
-// and is not shutting down.
-func (s *Service) Ready() bool { return !s.draining.Load() && s.publication.State().Table != nil }
+// Ready reports whether the sidecar accepts new work: it has a configuration, which is
+// recent enough for keys if it has organisations, and is not shutting down.
+func (s *Service) Ready() bool {
+	table := s.publication.State().Table
+	if s.draining.Load() || table == nil {
+		return false
+	}
+	return len(table.Configuration.Organisations) == 0 ||
+		s.publication.FreshFor(table.Configuration.Version, clock.Boot())
+}
 
 // Drain implements kernel.Drainer. The negative response to the platform's
 // readiness check keeps new clients away, and connections close after their
