Merge the age of the configuration

Authentication asks the proof of the publication, on the boot clock, whether keys may be accepted; its own copy of that decision goes.

--- a/lib/decision/organisation/verdict.go
+++ b/lib/decision/organisation/verdict.go
@@ -25,22 +25,14 @@
 	ArrivedAt time.Time
 }
 
-// Proof says how old the register may be.
+// Proof says how recent the register is.
 type Proof struct {
 	// ProvedAt is the time up to which the register is known to include all changes. It
 	// is zero if there is no such time.
 	ProvedAt time.Time
-	// MaxAge is the age up to which the register may accept keys, as a key may have been
-	// revoked since. Zero means any age.
-	MaxAge time.Duration
-}
-
-// ageMargin is taken off MaxAge for the time between the decision and the run.
-const ageMargin = 100 * time.Millisecond
-
-// Fresh reports whether the register is recent enough to accept keys.
-func (p Proof) Fresh(now time.Time) bool {
-	return p.MaxAge == 0 || !p.ProvedAt.IsZero() && now.Sub(p.ProvedAt) <= p.MaxAge-ageMargin
+	// Fresh is set if the register is recent enough to accept keys, which may have been
+	// revoked since.
+	Fresh bool
 }
 
 // Verdict is the decision on a request.
@@ -67,9 +59,9 @@
 // Decide returns the verdict on a request. An unknown key is refused only if the
 // register includes all changes up to the arrival of the request. On a public route, a
 // key that cannot be accepted is ignored.
-func Decide(now time.Time, r Request, p Proof) Verdict {
+func Decide(r Request, p Proof) Verdict {
 	switch {
-	case r.Presented == Known && p.Fresh(now):
+	case r.Presented == Known && p.Fresh:
 		return Authenticated
 	case r.Public:
 		return Anonymous
--- a/sidecar/authentication/authentication.go
+++ b/sidecar/authentication/authentication.go
@@ -45,12 +45,15 @@
 
 // Proofs says how recent the configuration in force is.
 type Proofs interface {
-	// ProvedAt returns the time up to which the configuration in force includes all
-	// changes, by the clock of Service.Now, or zero if there is no such time. A caller
-	// that reads the configuration afterwards gets one that the proof holds for.
-	ProvedAt() time.Time
-	// Changed returns a channel that is closed at the next proof.
-	Changed() <-chan struct{}
+	// Proof returns the version of a configuration and the time up to which it is known
+	// to include all changes, by the clock of Service.Now, or zero if there is no such
+	// time. A caller that reads the configuration afterwards gets this version or a newer
+	// one.
+	Proof() (version uint64, provedAt time.Time)
+	// Fresh reports whether the configuration is recent enough to accept keys.
+	Fresh(now time.Time) bool
+	// ProofChanged returns a channel that is closed at the next proof.
+	ProofChanged() <-chan struct{}
 }
 
 // Journal limits the number of log lines about requests.
@@ -60,9 +63,6 @@
 
 // Service authenticates requests.
 type Service struct {
-	// KeyRevocation is the age up to which the configuration may accept keys, or zero
-	// for any age.
-	KeyRevocation time.Duration
 	// Now returns the present time by the clock of the proofs.
 	Now   func() time.Time
 	Scope tally.Scope
@@ -98,16 +98,17 @@
 // Fresh reports whether the configuration is recent enough to accept keys. Without
 // organisations there are no keys, and any configuration is.
 func (s *Service) Fresh(now time.Time) bool {
-	proof := s.proof()
+	fresh := s.proofs.Fresh(now)
 	t := s.tables.State().Table
-	return t == nil || t.Register == nil || proof.Fresh(now)
+	return t == nil || t.Register == nil || fresh
 }
 
 // Ready reports whether the sidecar serves requests with keys.
 func (s *Service) Ready() bool { return s.Fresh(s.Now()) }
 
-func (s *Service) proof() organisation.Proof {
-	return organisation.Proof{ProvedAt: s.proofs.ProvedAt(), MaxAge: s.KeyRevocation}
+func (s *Service) proof(now time.Time) organisation.Proof {
+	_, at := s.proofs.Proof()
+	return organisation.Proof{ProvedAt: at, Fresh: s.proofs.Fresh(now)}
 }
 
 // examination is the examination of one request.
@@ -159,7 +160,7 @@
 // settle examines a request until the verdict is certain, and returns the verdict, or
 // why it stays uncertain.
 func (s *Service) settle(ctx context.Context, x *examination) string {
-	changed := s.proofs.Changed()
+	changed := s.proofs.ProofChanged()
 	s.examine(s.Now(), x)
 	if x.verdict != organisation.Unconfirmed {
 		return string(x.verdict)
@@ -181,7 +182,7 @@
 		case <-ctx.Done():
 			return string(x.verdict)
 		}
-		changed = s.proofs.Changed()
+		changed = s.proofs.ProofChanged()
 		s.examine(s.Now(), x)
 	}
 	return string(x.verdict)
@@ -191,7 +192,7 @@
 // before the configuration: in the other order, it could be that of a newer
 // configuration, in which the key is new or revoked.
 func (s *Service) examine(now time.Time, x *examination) {
-	x.proof = s.proof()
+	x.proof = s.proof(now)
 	table := s.tables.State().Table
 	r := x.request
 	r.Public = x.route.Public || table.Register == nil
@@ -202,7 +203,7 @@
 			r.Presented = organisation.Known
 		}
 	}
-	x.verdict, x.version, x.organisation = organisation.Decide(now, r, x.proof), table.Configuration.Version, nil
+	x.verdict, x.version, x.organisation = organisation.Decide(r, x.proof), table.Configuration.Version, nil
 	if x.verdict == organisation.Authenticated {
 		x.organisation = found
 	}
--- a/sidecar/publication/config.go
+++ b/sidecar/publication/config.go
@@ -34,14 +34,19 @@
 }
 
 // applyConfig decodes a configuration document and publishes it if it is valid
-// and newer than the current one. The source is used for log lines.
-func (s *Service) applyConfig(text []byte, source string) {
-	if len(text) == 0 || bytes.Equal(text, s.config.document) || bytes.Equal(text, s.config.rejected) {
-		return
+// and newer than the current one. The source is used for log lines. It returns the
+// version that the document confirms, or zero. An invalid document leaves the
+// configuration in force as it is, and confirms its version.
+func (s *Service) applyConfig(text []byte, source string) uint64 {
+	if len(text) == 0 {
+		return 0
+	}
+	if bytes.Equal(text, s.config.document) || bytes.Equal(text, s.config.rejected) {
+		return s.config.version()
 	}
 	c, err := platform.DecodeConfig(text)
 	if err == nil && c.Version <= s.config.version() {
-		return
+		return c.Version
 	}
 	var register *organisation.Register
 	if err == nil {
@@ -51,7 +56,7 @@
 		s.config.rejected = text
 		s.Scope.Counter("configurations_rejected").Inc(1)
 		s.Log.Error("A configuration was rejected.", "source", source, "inForce", s.config.version(), "err", err)
-		return
+		return s.config.version()
 	}
 	// The register holds the organisations, which may be many.
 	c.Organisations = nil
@@ -63,4 +68,5 @@
 	s.Scope.Gauge("configuration_version").Update(float64(c.Version))
 	s.Scope.Gauge("organisations").Update(float64(register.Len()))
 	s.publish()
+	return c.Version
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"cassiarack.example/lib/clock"
 	"cassiarack.example/lib/hangup"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/link"
@@ -176,7 +177,7 @@
 			Scope: scope, Log: j.Logger("notice")}},
 		{Name: names.Publication, Needs: []string{names.Peers, names.Notices}, Service: &publication.Service{
 			Store: store, Self: s.Fleet.Addr(), DataCentre: s.DataCentre, Port: port, Random: random(), Scope: scope,
-			Log: j.Logger("publication")}},
+			KeyRevocation: s.KeyRevocation, Log: j.Logger("publication")}},
 		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
 			Instance: s.Instance, Answers: bodyPool(s), MinStopTime: ingress.MinDrainTime, Random: random(),
 			Scope: scope, Log: j.Logger("gate")}},
@@ -185,7 +186,7 @@
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
 		{Name: names.Authentication, Needs: []string{names.Publication, names.Journal}, Service: &authentication.Service{
-			KeyRevocation: s.KeyRevocation, Now: time.Now, Scope: scope, Log: j.Logger("authentication")}},
+			Now: clock.Boot, Scope: scope, Log: j.Logger("authentication")}},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Authentication, names.Relay, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: bodyPool(s), Scope: scope,
 				Log: j.Logger("ingress")}},
