--- a/sidecar/publication/proof_test.go
+++ b/sidecar/publication/proof_test.go
@@ -166,6 +166,9 @@
 	p.clock += time.Second
 	p.announce(2, 6, 52*time.Second, 100*time.Millisecond)
 	p.note("announcement of an older version")
+	p.s.proveByAnnouncement(p.s.Boot(), otherSidecar, 2, &wire.Announcement{ConfigVersion: 8,
+		Clock: int64(52 * time.Second), ConfigAge: int64(100 * time.Millisecond)})
+	p.note("announcement of a version that is not yet in force")
 	p.announce(2, 7, 0, 0)
 	p.note("announcement of a sidecar without the setting")
 	golden.Check(t, "announcement", p.out.String())
@@ -190,6 +193,7 @@
 	snapshot("of a sidecar without the setting", 7, 0)
 	snapshot("of a sidecar without a proof", 7, -1)
 	snapshot("of the same version, asked 1s ago", 7, 500*time.Millisecond)
+	snapshot("of a newer version that was not taken over", 8, 500*time.Millisecond)
 	p.s.config.table = routing.Compile(&routing.Configuration{Version: 8})
 	snapshot("that brought a newer version without a proof", 8, -1)
 	fmt.Fprintf(&p.out, "states %v to others\n", time.Duration(p.s.snapshot(time.Now(), 8).GetConfigAge()))
@@ -210,6 +214,28 @@
 	golden.Check(t, "reply", p.out.String())
 }
 
+// TestStatements guards against announcements and replies without the clock and the age
+// of the proof. Other sidecars would then live by their own questions.
+func TestStatements(t *testing.T) {
+	p := newProofTest(t, 5*time.Second)
+	send := func(what string) {
+		p.s.dataCentrePeers = []netip.Addr{otherSidecar}
+		p.s.announce(time.Now())
+		a := p.sent().GetAnnouncement()
+		fmt.Fprintf(&p.out, "%s: announcement at %v of version %d, age %v\n", what, time.Duration(a.GetClock()),
+			a.GetConfigVersion(), time.Duration(a.GetConfigAge()))
+		p.s.handleClockRequest(time.Now(), otherSidecar, &wire.Notice{ClockRequest: &wire.ClockRequest{Nonce: 5}})
+		r := p.sent().GetClockReply()
+		fmt.Fprintf(&p.out, "%s: reply %d at %v of version %d, age %v\n", what, r.GetNonce(), time.Duration(r.GetClock()),
+			r.GetConfigVersion(), time.Duration(r.GetConfigAge()))
+	}
+	send("without a proof")
+	p.s.applyStoreConfig(p.s.Boot(), document(8))
+	p.clock += 300 * time.Millisecond
+	send("300ms after a read")
+	golden.Check(t, "statements", p.out.String())
+}
+
 // TestWithoutSetting guards against messages and fields that a deployment without the
 // setting would pay for.
 func TestWithoutSetting(t *testing.T) {
