Add the decisions of limits over all nodes

Limits of organisations hold over all nodes, and no node sees all requests. Package ratelimit chooses five ledgers by rendezvous hashing, grants credits from their token buckets, and keeps stocks of credits at entries.

--- /dev/null
+++ b/lib/decision/ratelimit/ledger.go
@@ -0,0 +1,34 @@
+package ratelimit
+
+import "time"
+
+// Ledger holds the buckets of the organisations of which one node is a ledger. It is not
+// safe for concurrent use.
+type Ledger struct {
+	Shares     Shares
+	Membership *Membership
+
+	buckets table[*Bucket]
+}
+
+// Ask answers a question for credits of an organisation.
+func (l *Ledger) Ask(now time.Time, organisation string, limit Limit, wanted int) Grant {
+	since, ok := l.Membership.Ledger(organisation)
+	if !ok {
+		// If the node becomes a ledger again, what its replacement granted is unknown.
+		delete(l.buckets.values, organisation)
+		return Grant{NotLedger: true}
+	}
+	b, ok := l.buckets.get(now, organisation, func() *Bucket { return NewBucket(l.Shares, limit, since) })
+	if !ok {
+		return Grant{RetryAfter: refusalMemory}
+	}
+	// The node may have ceased to be a ledger and become one again between questions.
+	if since.After(b.filledAt) {
+		b.level, b.filledAt = 0, since
+	}
+	return b.Ask(now, limit, wanted)
+}
+
+// Buckets returns the number of buckets.
+func (l *Ledger) Buckets() int { return len(l.buckets.values) }
--- /dev/null
+++ b/lib/decision/ratelimit/limit.go
@@ -0,0 +1,77 @@
+package ratelimit
+
+import "time"
+
+const (
+	// ledgerCount is the number of ledgers of an organisation.
+	ledgerCount = 5
+	// overDivisor and slackDivisor give the parts of the permitted excess that the
+	// buckets use. The rest covers credits that are granted before a window and used
+	// in it, and ledgers that grant while their replacements do.
+	overDivisor  = 2.5
+	slackDivisor = 2
+	// creditValidity is how long a credit may be used after it was asked for.
+	creditValidity = 300 * time.Millisecond
+	// replyTimeout is how long an entry waits for the reply of a ledger.
+	replyTimeout = 40 * time.Millisecond
+	// refusalMemory bounds how long an entry does not ask a ledger again that refused
+	// or did not reply.
+	refusalMemory = 500 * time.Millisecond
+	// demandMemory is the time constant of the estimate of an organisation's demand.
+	demandMemory = time.Second
+	// maxRetryAfter bounds the times that refusals state. Further refusals begin again
+	// at the earliest time.
+	maxRetryAfter = 10 * time.Second
+	// minRetryAfter is the shortest time that a refusal states.
+	minRetryAfter = time.Millisecond
+	// noLedgerRetryAfter is the time after which a caller may try again if no ledger
+	// replied.
+	noLedgerRetryAfter = 300 * time.Millisecond
+	// settleTime is how long a node that has become a ledger grants nothing. By then
+	// all nodes have seen the same change of the list of nodes.
+	settleTime = 2500 * time.Millisecond
+	// contactValidity is how long a reply of a ledger shows that it can be reached.
+	contactValidity = time.Second
+	// idleTime is how long unused buckets and stocks are kept.
+	idleTime = 30 * time.Second
+)
+
+// FreshList is the age up to which a node's list of nodes is used without asking a
+// majority of the ledgers. It is shorter than the time after which other nodes remove a
+// node that they cannot reach.
+const FreshList = 2 * time.Second
+
+// Limit is the limit of an organisation over all nodes.
+type Limit struct {
+	// Rate is in requests a second, Burst in requests.
+	Rate, Burst float64
+	// Version is that of the configuration that contains the limit.
+	Version uint64
+}
+
+// below reports whether l permits less than m.
+func (l Limit) below(m Limit) bool { return l.Rate < m.Rate || l.Burst < m.Burst }
+
+// Shares divides limits among ledgers. In any window of length W, an organisation gets
+// at most (Rate*W+Burst)*(1+Over) + Slack requests.
+type Shares struct {
+	Over, Slack float64
+}
+
+// rate returns the rate of one ledger in credits a second.
+func (s Shares) rate(l Limit) float64 { return l.Rate * (1 + s.Over/overDivisor) / ledgerCount }
+
+// capacity returns the largest number of credits that one ledger holds. It is at least
+// one, since credits are granted whole.
+func (s Shares) capacity(l Limit) float64 {
+	return max(1, (l.Burst+s.Slack/slackDivisor)/ledgerCount)
+}
+
+// interval returns the time in which a bucket with the given rate gains credits, within
+// the bounds of the times that refusals state.
+func interval(credits, rate float64) time.Duration {
+	if seconds := credits / rate; rate > 0 && seconds < maxRetryAfter.Seconds() {
+		return max(minRetryAfter, time.Duration(seconds*float64(time.Second)))
+	}
+	return maxRetryAfter
+}
