Keep requests within the limits of their organisations

Nothing bounded what an organisation sends. The service limiter admits a request with a credit of this sidecar's stock or asks a ledger by datagram; it answers the questions of other sidecars for the organisations of which it is a ledger. The ingress asks it before the relay and returns the credit of a request that was refused as not run. Requests without an organisation do not reach it.

--- a/lib/decision/ratelimit/entry.go
+++ b/lib/decision/ratelimit/entry.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"iter"
 	"maps"
 	"net/netip"
 	"slices"
@@ -40,27 +41,30 @@
 	return e.advance(now, fresh, s), true
 }
 
-// Reply handles the reply of a ledger.
-func (e *Entry[T]) Reply(now time.Time, fresh bool, from netip.Addr, nonce uint64, g Grant) Outcome[T] {
+// Reply handles the reply of a ledger. It returns the organisation that the question was
+// about.
+func (e *Entry[T]) Reply(now time.Time, fresh bool, from netip.Addr, nonce uint64, g Grant) (string, Outcome[T]) {
 	s := e.stocks.values[e.open[nonce]]
 	if s == nil || !s.reply(now, from, nonce, g) {
-		return Outcome[T]{}
+		return "", Outcome[T]{}
 	}
 	delete(e.open, nonce)
-	return e.advance(now, fresh, s)
+	return s.organisation, e.advance(now, fresh, s)
 }
 
-// Tick handles the questions without a reply. It is to be called every few milliseconds
-// while Waiting reports true.
-func (e *Entry[T]) Tick(now time.Time, fresh bool) []Outcome[T] {
-	var out []Outcome[T]
-	for _, nonce := range slices.Sorted(maps.Keys(e.open)) {
-		// An earlier question of the same organisation may have closed this one.
-		if s := e.stocks.values[e.open[nonce]]; s != nil {
-			out = append(out, e.advance(now, fresh, s))
+// Tick handles the questions without a reply. It yields the outcome for each organisation
+// with one. It is to be called every few milliseconds while Waiting reports true.
+func (e *Entry[T]) Tick(now time.Time, fresh bool) iter.Seq2[string, Outcome[T]] {
+	return func(yield func(string, Outcome[T]) bool) {
+		for _, nonce := range slices.Sorted(maps.Keys(e.open)) {
+			// What followed from an earlier question may have closed this one.
+			organisation, open := e.open[nonce]
+			s := e.stocks.values[organisation]
+			if open && s != nil && !yield(organisation, e.advance(now, fresh, s)) {
+				return
+			}
 		}
 	}
-	return out
 }
 
 // Return takes back the credit of a request that did not run, and reports whether it is
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -21,6 +21,7 @@
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/sidecar/limiter"
 	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/names"
@@ -44,6 +45,11 @@
 func (f *fakeServices) Running() int                                  { return int(f.running.Load()) }
 func (f *fakeServices) AllowRequestLine(time.Time, string, bool) bool { return false }
 
+// Admit must not be called, as the requests have no organisation.
+func (f *fakeServices) Admit(context.Context, *message.Request) (limiter.Permit, *message.Answer) {
+	panic("a request without an organisation was passed to the limiter")
+}
+
 // Serve returns a response that contains the target, after the delay that the
 // query gives, if any. It sends the target to cancelled if the request is
 // cancelled before that.
@@ -96,8 +102,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	k := &kernel.Kernel{Log: log.New(io.Discard), DrainTimeout: 5 * time.Second, Registrations: []kernel.Registration{
 		{Name: names.Publication, Service: f}, {Name: names.Relay, Service: f}, {Name: names.Gate, Service: f},
-		{Name: names.Journal, Service: f},
-		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal}, Service: s}}}
+		{Name: names.Journal, Service: f}, {Name: names.Limiter, Service: f},
+		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Limiter, names.Gate, names.Journal}, Service: s}}}
 	done := make(chan error, 1)
 	go func() { done <- k.Run(ctx) }()
 	t.Cleanup(func() {
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -67,7 +67,7 @@
 		return &message.Answer{Status: http.StatusServiceUnavailable, FromFleet: true,
 			Header: platform.RefusalHeader(attempt, retryAfter), Body: []byte("not run: the sidecar stops\n")}
 	}
-	a := s.relay.Serve(ctx, &message.Request{
+	a := s.serveWithinLimit(ctx, &message.Request{
 		Attempt: attempt, Method: head.Method, Target: target, Host: head.Host,
 		Header: platform.RequestHeader(head.Header, s.CallerService), Body: body,
 		Route: route, ConfigVersion: table.Configuration.Version, Service: s.chooseService(table, route),
@@ -79,6 +79,23 @@
 	return a
 }
 
+// serveWithinLimit passes a request to the relay if it is within the limit of its
+// organisation.
+func (s *Service) serveWithinLimit(ctx context.Context, r *message.Request) *message.Answer {
+	if r.Organisation == nil {
+		return s.relay.Serve(ctx, r)
+	}
+	permit, refusal := s.limiter.Admit(ctx, r)
+	if refusal != nil {
+		return refusal
+	}
+	a := s.relay.Serve(ctx, r)
+	if a.FromFleet && platform.PromisesNotExecuted(a.Status) {
+		permit.Return()
+	}
+	return a
+}
+
 const tracerName = "cassiarack/ingress"
 
 // retryAfter is the Retry-After time of a refusal, after which a sidecar that
--- a/sidecar/ingress/ingress.go
+++ b/sidecar/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"cassiarack.example/lib/clock"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/sidecar/limiter"
 	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/names"
@@ -62,6 +63,11 @@
 	Serve(ctx context.Context, r *message.Request) *message.Answer
 }
 
+// Limiter admits the requests of organisations.
+type Limiter interface {
+	Admit(ctx context.Context, r *message.Request) (limiter.Permit, *message.Answer)
+}
+
 // Gate is the access to the instance on this VM.
 type Gate interface {
 	// RecordNestedFailure records that a request failed which may be a call by
@@ -89,6 +95,7 @@
 
 	publication Publication
 	relay       Relay
+	limiter     Limiter
 	gate        Gate
 	journal     Journal
 
@@ -122,6 +129,9 @@
 	if s.relay, err = kernel.Find[Relay](dir, names.Relay); err != nil {
 		return err
 	}
+	if s.limiter, err = kernel.Find[Limiter](dir, names.Limiter); err != nil {
+		return err
+	}
 	if s.gate, err = kernel.Find[Gate](dir, names.Gate); err != nil {
 		return err
 	}
--- a/sidecar/names/names.go
+++ b/sidecar/names/names.go
@@ -11,6 +11,7 @@
 	Publication = "publication"
 	Gate        = "gate"
 	Relay       = "relay"
+	Limiter     = "limiter"
 	Ingress     = "ingress"
 	Admin       = "admin"
 	Settings    = "settings"
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"cassiarack.example/lib/decision/ratelimit"
 	"cassiarack.example/lib/hangup"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/link"
@@ -25,6 +26,7 @@
 	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/ingress"
 	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/limiter"
 	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/notice"
@@ -183,7 +185,10 @@
 			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
-		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
+		{Name: names.Limiter, Needs: []string{names.Notices, names.Publication, names.Journal}, Service: &limiter.Service{
+			Self: s.Fleet.Addr(), Shares: ratelimit.Shares{Over: s.LimitOver, Slack: s.LimitSlack}, Scope: scope,
+			Log: j.Logger("limiter")}},
+		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Limiter, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: bodyPool(s), Scope: scope,
 				Log: j.Logger("ingress")}},
 		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
