Serve small organisations up to nine tenths of their limit

A bucket now repeats its promise to an asker, questions go round the ledgers, and the buckets use 0.8 of the slack for their capacity and 0.1 of it, over a window, for their rate.

--- a/lib/decision/ratelimit/bucket.go
+++ b/lib/decision/ratelimit/bucket.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -24,11 +26,21 @@
 	// filledAt is the time as of which the level holds. It may be later than the
 	// present; the bucket is then empty until that time.
 	filledAt time.Time
-	// statedAt is the latest time at which a refusal announced credit.
-	statedAt time.Time
+	// promises are the times in the future at which refusals announced credit, in their
+	// order.
+	promises []promise
 	askedAt  time.Time
 }
 
+// promise is the time at which there will be credit for an asker.
+type promise struct {
+	asker netip.Addr
+	at    time.Time
+}
+
+// maxPromises bounds the promises of a bucket.
+const maxPromises = 64
+
 // NewBucket returns a bucket that is empty at the time since. Its credits from then on
 // count, so that a bucket that was dropped when full and is created again is full.
 func NewBucket(s Shares, l Limit, since time.Time) *Bucket {
@@ -37,7 +49,7 @@
 
 // Ask grants up to wanted credits. The limit replaces an older one; if it is smaller, the
 // bucket shrinks at once.
-func (b *Bucket) Ask(now time.Time, l Limit, wanted int) Grant {
+func (b *Bucket) Ask(now time.Time, asker netip.Addr, l Limit, wanted int) Grant {
 	b.fill(now)
 	if l.Version > b.limit.Version {
 		b.limit = l
@@ -51,21 +63,31 @@
 		b.level -= float64(n)
 		return Grant{Credits: n}
 	}
-	return Grant{RetryAfter: b.state(now)}
+	return Grant{RetryAfter: b.promise(now, asker)}
 }
 
-// state returns the time until credit for the next asker that is refused.
-func (b *Bucket) state(now time.Time) time.Duration {
+// promise returns the time until credit for an asker that is refused. Different askers
+// get successive times, and one that asks again gets its earlier one.
+func (b *Bucket) promise(now time.Time, asker netip.Addr) time.Duration {
+	b.promises = slices.DeleteFunc(b.promises, func(p promise) bool { return !p.at.After(now) })
 	rate := b.shares.rate(b.limit)
 	earliest := now.Add(interval(1-b.level, rate))
 	if b.filledAt.After(now) {
 		earliest = b.filledAt.Add(interval(1, rate))
 	}
-	at := b.statedAt.Add(interval(1, rate))
-	if at.Before(earliest) || at.Sub(now) > maxRetryAfter {
-		at = earliest
+	for _, p := range b.promises {
+		if p.asker == asker {
+			return later(p.at, earliest).Sub(now)
+		}
+	}
+	at := earliest
+	if n := len(b.promises); n > 0 {
+		at = later(earliest, b.promises[n-1].at.Add(interval(1, rate)))
+	}
+	if at.Sub(now) > maxRetryAfter || len(b.promises) == maxPromises {
+		return earliest.Sub(now)
 	}
-	b.statedAt = at
+	b.promises = append(b.promises, promise{asker, at})
 	return at.Sub(now)
 }
 
@@ -74,7 +96,7 @@
 	if !now.After(b.filledAt) {
 		return
 	}
-	b.level = min(b.shares.capacity(b.limit), b.level+b.shares.rate(b.limit)*now.Sub(b.filledAt).Seconds())
+	b.level = min(b.shares.capacity(b.limit), b.level+float64(b.shares.rate(b.limit)*now.Sub(b.filledAt).Seconds()))
 	b.filledAt = now
 }
 
--- a/lib/decision/ratelimit/entry.go
+++ b/lib/decision/ratelimit/entry.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"iter"
 	"maps"
 	"net/netip"
@@ -21,8 +22,10 @@
 	// FirstNonce distinguishes the questions from those of an earlier process.
 	FirstNonce uint64
 
-	stocks table[*stock[T]]
-	asked  uint64
+	// validity replaces creditValidity if it is not zero.
+	validity time.Duration
+	stocks   table[*stock[T]]
+	asked    uint64
 	// open maps the nonces of open questions to organisations.
 	open map[uint64]string
 }
@@ -32,7 +35,7 @@
 // set if the list of nodes is younger than FreshList.
 func (e *Entry[T]) Arrive(now time.Time, fresh bool, organisation string, l Limit, request T) (Outcome[T], bool) {
 	s, ok := e.stocks.get(now, organisation, func() *stock[T] {
-		return &stock[T]{organisation: organisation, shares: e.Shares, limit: l}
+		return &stock[T]{organisation: organisation, shares: e.Shares, limit: l, validity: cmp.Or(e.validity, creditValidity)}
 	})
 	if !ok {
 		return Outcome[T]{}, false
@@ -122,16 +125,13 @@
 }
 
 // ledgers returns the ledgers of an organisation in the order in which this entry asks
-// them. It begins with itself, which costs no message, or with one that the hash of its
-// address selects, so that entries spread over the ledgers.
+// them. It begins with one that the hash of its address selects, so that entries spread
+// over the ledgers.
 func (e *Entry[T]) ledgers(organisation string) []netip.Addr {
 	list := Ledgers(organisation, e.Membership.vms)
 	if len(list) == 0 {
 		return nil
 	}
-	first := slices.Index(list, e.Self)
-	if first < 0 {
-		first = int(score(0, e.Self) % uint64(len(list)))
-	}
+	first := score(0, e.Self) % uint64(len(list))
 	return slices.Concat(list[first:], list[:first])
 }
--- a/lib/decision/ratelimit/ledger.go
+++ b/lib/decision/ratelimit/ledger.go
@@ -1,6 +1,9 @@
 package ratelimit
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Ledger holds the buckets of the organisations of which one node is a ledger. It is not
 // safe for concurrent use.
@@ -11,8 +14,8 @@
 	buckets table[*Bucket]
 }
 
-// Ask answers a question for credits of an organisation.
-func (l *Ledger) Ask(now time.Time, organisation string, limit Limit, wanted int) Grant {
+// Ask answers a question of a node for credits of an organisation.
+func (l *Ledger) Ask(now time.Time, asker netip.Addr, organisation string, limit Limit, wanted int) Grant {
 	since, ok := l.Membership.Ledger(organisation)
 	if !ok {
 		// If the node becomes a ledger again, what its replacement granted is unknown.
@@ -27,7 +30,7 @@
 	if since.After(b.filledAt) {
 		b.level, b.filledAt = 0, since
 	}
-	return b.Ask(now, limit, wanted)
+	return b.Ask(now, asker, limit, wanted)
 }
 
 // Buckets returns the number of buckets.
--- a/lib/decision/ratelimit/ledgers.go
+++ b/lib/decision/ratelimit/ledgers.go
@@ -71,6 +71,8 @@
 	generation uint64
 	// knownSince is the time from which on the changes are known.
 	knownSince time.Time
+	// settle is how long the node grants nothing after it has become a ledger.
+	settle time.Duration
 	// removals are in the order of time.
 	removals []removal
 }
@@ -84,7 +86,7 @@
 // NewMembership returns the list of a node whose process started at the given time. It
 // is empty until Update is called.
 func NewMembership(self netip.Addr, started time.Time) *Membership {
-	return &Membership{self: self, knownSince: started}
+	return &Membership{self: self, knownSince: started, settle: settleTime}
 }
 
 // Update replaces the list of nodes.
@@ -96,7 +98,7 @@
 		return
 	}
 	if m.generation > 0 && !m.contains(m.vms) && m.contains(sorted) {
-		m.knownSince, m.removals = now.Add(settleTime), nil
+		m.knownSince, m.removals = now.Add(m.settle), nil
 	}
 	for _, a := range m.vms {
 		if _, found := slices.BinarySearchFunc(sorted, a, netip.Addr.Compare); !found {
@@ -104,7 +106,7 @@
 		}
 	}
 	if extra := len(m.removals) - maxRemovals; extra > 0 {
-		m.knownSince = later(m.knownSince, m.removals[extra-1].at.Add(settleTime))
+		m.knownSince = later(m.knownSince, m.removals[extra-1].at.Add(m.settle))
 		m.removals = slices.Clone(m.removals[extra:])
 	}
 	m.vms = sorted
@@ -140,7 +142,7 @@
 			rank++
 		}
 		if rank == ledgerCount {
-			return later(m.knownSince, r.at.Add(settleTime)), true
+			return later(m.knownSince, r.at.Add(m.settle)), true
 		}
 	}
 	return m.knownSince, true
--- a/lib/decision/ratelimit/limit.go
+++ b/lib/decision/ratelimit/limit.go
@@ -5,11 +5,13 @@
 const (
 	// ledgerCount is the number of ledgers of an organisation.
 	ledgerCount = 5
-	// overDivisor and slackDivisor give the parts of the permitted excess that the
-	// buckets use. The rest covers credits that are granted before a window and used
-	// in it, and ledgers that grant while their replacements do.
-	overDivisor  = 2.5
-	slackDivisor = 2
+	// overShare is the part of the permitted excess of the rate that the buckets use.
+	// burstShare and rateShare are the parts of the slack that they use for their
+	// capacity and, over a window, for their rate. The rest covers credits that are
+	// granted before a window and used in it, and ledgers that go on with old lists.
+	overShare  = 0.4
+	burstShare = 0.8
+	rateShare  = 0.1
 	// creditValidity is how long a credit may be used after it was asked for.
 	creditValidity = 300 * time.Millisecond
 	// replyTimeout is how long an entry waits for the reply of a ledger.
@@ -52,19 +54,29 @@
 // below reports whether l permits less than m.
 func (l Limit) below(m Limit) bool { return l.Rate < m.Rate || l.Burst < m.Burst }
 
-// Shares divides limits among ledgers. In any window of length W, an organisation gets
-// at most (Rate*W+Burst)*(1+Over) + Slack requests.
+// Shares divides limits among ledgers. In any window of length Window, an organisation
+// gets at most (Rate*Window+Burst)*(1+Over) + Slack requests.
 type Shares struct {
+	Window      time.Duration
 	Over, Slack float64
 }
 
+// The conversions of products below prevent fused operations, so that all architectures
+// decide the same.
+
 // rate returns the rate of one ledger in credits a second.
-func (s Shares) rate(l Limit) float64 { return l.Rate * (1 + s.Over/overDivisor) / ledgerCount }
+func (s Shares) rate(l Limit) float64 {
+	sum := float64(l.Rate * (1 + float64(s.Over*overShare)))
+	if s.Window > 0 {
+		sum += float64(s.Slack*rateShare) / s.Window.Seconds()
+	}
+	return sum / ledgerCount
+}
 
 // capacity returns the largest number of credits that one ledger holds. It is at least
 // one, since credits are granted whole.
 func (s Shares) capacity(l Limit) float64 {
-	return max(1, (l.Burst+s.Slack/slackDivisor)/ledgerCount)
+	return max(1, (l.Burst+float64(s.Slack*burstShare))/ledgerCount)
 }
 
 // interval returns the time in which a bucket with the given rate gains credits, within
--- a/lib/decision/ratelimit/stock.go
+++ b/lib/decision/ratelimit/stock.go
@@ -62,9 +62,14 @@
 	organisation string
 	shares       Shares
 	limit        Limit
+	// validity is how long a credit may be used after it was asked for.
+	validity time.Duration
 	// ledgers are in the order in which they are asked, as of generation.
 	ledgers    []ledgerState
 	generation uint64
+	// next is the index of the ledger that is asked next. The questions go round, so
+	// that no bucket is full and loses credits while another is empty.
+	next int
 	// credits are in the order of their expiry, except returned ones.
 	credits []batch
 	waiting []waiter[T]
@@ -116,7 +121,7 @@
 }
 
 func (s *stock[T]) decayedDemand(now time.Time) float64 {
-	return s.demand * math.Exp(-now.Sub(s.arrivedAt).Seconds()/demandMemory.Seconds())
+	return float64(s.demand * math.Exp(-now.Sub(s.arrivedAt).Seconds()/demandMemory.Seconds()))
 }
 
 // setLedgers replaces the ledgers, which come in the order in which they are asked. It
@@ -150,7 +155,7 @@
 	if nonce == s.awaited {
 		s.awaited = 0
 	}
-	if until := q.AskedAt.Add(creditValidity); g.Credits > 0 && until.After(now) && !s.limit.below(q.Limit) {
+	if until := q.AskedAt.Add(s.validity); g.Credits > 0 && until.After(now) && !s.limit.below(q.Limit) {
 		s.credits = append(s.credits, batch{min(g.Credits, q.Wanted), until})
 	}
 	s.record(now, q, g)
@@ -201,7 +206,7 @@
 				l.blockedUntil, l.exhausted = now.Add(refusalMemory), false
 			}
 		}
-		if age < creditValidity {
+		if age < s.validity {
 			kept = append(kept, q)
 		}
 	}
@@ -257,10 +262,12 @@
 	return n > len(s.ledgers)/2
 }
 
-// nextLedger returns the first ledger that was not asked for w and may be asked, or nil.
+// nextLedger returns the next ledger that was not asked for w and may be asked, or nil.
 func (s *stock[T]) nextLedger(now time.Time, w waiter[T]) *ledgerState {
 	for i := range s.ledgers {
-		if l := &s.ledgers[i]; !slices.Contains(w.asked, l.address) && !now.Before(l.blockedUntil) {
+		n := (s.next + i) % len(s.ledgers)
+		if l := &s.ledgers[n]; !slices.Contains(w.asked, l.address) && !now.Before(l.blockedUntil) {
+			s.next = n + 1
 			return l
 		}
 	}
@@ -287,7 +294,7 @@
 // standard deviation below the expected demand, so that few expire: at nine tenths of
 // the limit, expired credits are missing elsewhere.
 func (s *stock[T]) reserve(now time.Time) int {
-	expected := s.decayedDemand(now) * creditValidity.Seconds()
+	expected := float64(s.decayedDemand(now) * creditValidity.Seconds())
 	return max(0, int(expected-math.Sqrt(expected)))
 }
 
--- a/sidecar/limiter/limiter.go
+++ b/sidecar/limiter/limiter.go
@@ -284,7 +284,7 @@
 			s.notices.Send(&wire.Notice{CreditRequest: encodeQuestion(q)}, []netip.Addr{q.Ledger})
 			return
 		}
-		g := s.ledger.Ask(now, organisation, q.Limit, q.Wanted)
+		g := s.ledger.Ask(now, s.Self, organisation, q.Limit, q.Wanted)
 		s.counters.granted.Inc(int64(g.Credits))
 		_, out = s.entry.Reply(now, s.fresh(), s.Self, q.Nonce, g)
 	}
@@ -316,7 +316,7 @@
 
 // answer answers the question of another sidecar.
 func (s *Service) answer(now time.Time, from netip.Addr, q ratelimit.Question) {
-	g := s.ledger.Ask(now, q.Organisation, q.Limit, q.Wanted)
+	g := s.ledger.Ask(now, from, q.Organisation, q.Limit, q.Wanted)
 	s.counters.granted.Inc(int64(g.Credits))
 	s.notices.Send(&wire.Notice{CreditReply: encodeGrant(q.Nonce, g)}, []netip.Addr{from})
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -186,8 +186,9 @@
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
 		{Name: names.Limiter, Needs: []string{names.Notices, names.Publication, names.Journal}, Service: &limiter.Service{
-			Self: s.Fleet.Addr(), Shares: ratelimit.Shares{Over: s.LimitOver, Slack: s.LimitSlack}, Scope: scope,
-			Log: j.Logger("limiter")}},
+			Self: s.Fleet.Addr(), Scope: scope,
+			Shares: ratelimit.Shares{Window: s.LimitWindow, Over: s.LimitOver, Slack: s.LimitSlack},
+			Log:    j.Logger("limiter")}},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Limiter, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: bodyPool(s), Scope: scope,
 				Log: j.Logger("ingress")}},
