--- a/lib/decision/ratelimit/fleet_test.go
+++ b/lib/decision/ratelimit/fleet_test.go
@@ -92,11 +92,15 @@
 	list    []netip.Addr
 	byAddr  map[netip.Addr]*vm
 	history []*arrival
+	// lag returns the time after which a VM learns of a change of the list.
+	lag func(v *vm) time.Duration
 }
 
 func newFleet(seed uint64, n int, limit Limit, off protections) *fleet {
 	f := &fleet{now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), off: off, byAddr: make(map[netip.Addr]*vm), list: addresses(n)}
-	for i, a := range f.list {
+	f.lag = func(*vm) time.Duration { return time.Duration(f.rng.Int64N(int64(maxLag))) }
+	slices.SortFunc(f.list, netip.Addr.Compare)
+	for i, a := range addresses(n) {
 		v := &vm{address: a, dataCentre: i % 4, limit: limit, name: "a"}
 		f.vms, f.byAddr[a] = append(f.vms, v), v
 		f.boot(v)
@@ -255,12 +259,12 @@
 	})
 }
 
-// publish replaces the list of VMs. Each VM learns of it after a random time.
+// publish replaces the list of VMs. Each VM learns of it after its lag.
 func (f *fleet) publish(list []netip.Addr) {
 	f.list = list
 	for _, v := range f.vms {
 		process := v.entry
-		f.after(time.Duration(f.rng.Int64N(int64(maxLag))), func() {
+		f.after(f.lag(v), func() {
 			if v.cutAt.IsZero() && v.entry == process {
 				f.at(v, func() { v.membership.Update(f.now, f.list) })
 			}
--- a/lib/decision/ratelimit/ledgers.go
+++ b/lib/decision/ratelimit/ledgers.go
@@ -89,10 +89,13 @@
 	return &Membership{self: self, knownSince: started, settle: settleTime}
 }
 
-// Update replaces the list of nodes.
+// Update replaces the list of nodes, which must not be modified afterwards.
 func (m *Membership) Update(now time.Time, vms []netip.Addr) {
-	sorted := slices.Clone(vms)
-	slices.SortFunc(sorted, netip.Addr.Compare)
+	sorted := vms
+	if !slices.IsSortedFunc(vms, netip.Addr.Compare) {
+		sorted = slices.Clone(vms)
+		slices.SortFunc(sorted, netip.Addr.Compare)
+	}
 	sorted = slices.Compact(sorted)
 	if slices.Equal(sorted, m.vms) {
 		return
--- a/lib/decision/ratelimit/limit.go
+++ b/lib/decision/ratelimit/limit.go
@@ -23,7 +23,7 @@
 	demandMemory = time.Second
 	// maxRetryAfter bounds the times that refusals state. Further refusals begin again
 	// at the earliest time.
-	maxRetryAfter = 10 * time.Second
+	maxRetryAfter = 30 * time.Second
 	// minRetryAfter is the shortest time that a refusal states.
 	minRetryAfter = time.Millisecond
 	// noLedgerRetryAfter is the time after which a caller may try again if no ledger
--- a/lib/decision/ratelimit/stock.go
+++ b/lib/decision/ratelimit/stock.go
@@ -104,6 +104,9 @@
 	// creditAt is when the ledger will have credit, if exhausted is set.
 	creditAt  time.Time
 	exhausted bool
+	// stated is the time until credit that its last reply stated, or zero if that
+	// granted some.
+	stated    time.Duration
 	repliedAt time.Time
 }
 
@@ -172,7 +175,7 @@
 		l.blockedUntil, l.exhausted = now.Add(refusalMemory), false
 		return
 	}
-	l.repliedAt, l.exhausted = now, g.Credits < q.Wanted
+	l.repliedAt, l.exhausted, l.stated = now, g.Credits < q.Wanted, min(g.RetryAfter, maxRetryAfter)
 	if l.exhausted {
 		after := g.RetryAfter
 		if g.Credits > 0 {
@@ -304,17 +307,12 @@
 	w := s.waiting[0]
 	s.waiting = s.waiting[1:]
 	r := Refusal[T]{Request: w.request, NoLedger: true, RetryAfter: noLedgerRetryAfter, Asked: len(w.asked)}
-	var earliest time.Time
-	for _, l := range s.ledgers {
-		if l.exhausted && (earliest.IsZero() || l.creditAt.Before(earliest)) {
-			earliest = l.creditAt
-		}
-	}
-	if earliest.IsZero() || len(s.credits) > 0 {
+	earliest, spacing, ok := s.expectedCredit()
+	if !ok || len(s.credits) > 0 {
 		return r
 	}
 	earliest = later(earliest, now.Add(minRetryAfter))
-	at := s.statedAt.Add(interval(1, ledgerCount*s.shares.rate(s.limit)))
+	at := s.statedAt.Add(spacing)
 	if at.Before(earliest) || at.Sub(now) > maxRetryAfter {
 		at = earliest
 	}
@@ -323,6 +321,31 @@
 	return r
 }
 
+// expectedCredit returns when this entry will get the next credit, and the expected time
+// between later ones. It reports false if no ledger stated a time.
+func (s *stock[T]) expectedCredit() (earliest time.Time, spacing time.Duration, ok bool) {
+	refusals, sum := 0, time.Duration(0)
+	for _, l := range s.ledgers {
+		if !l.exhausted {
+			continue
+		}
+		if !ok || l.creditAt.Before(earliest) {
+			earliest, ok = l.creditAt, true
+		}
+		if l.stated > 0 {
+			refusals++
+			sum += l.stated
+		}
+	}
+	// Ledgers state successive times to the entries that ask, so the mean of the times
+	// shows how many entries share the rate.
+	rate, entries := s.shares.rate(s.limit), 1.0
+	if refusals > 0 {
+		entries = max(1, float64(2*sum/time.Duration(refusals))/float64(interval(1, rate))-1)
+	}
+	return earliest, interval(entries, float64(ledgerCount*rate)), ok
+}
+
 // restore takes back the credit of a request that did not run, and reports whether it is
 // still valid.
 func (s *stock[T]) restore(now time.Time, p Permit) bool {
