Update the gauges of the limiter only in ticks

Each command searched all open questions for the oldest one.

Measured: the tests of the limiter pass three times with the race detector.

--- a/sidecar/limiter/limiter.go
+++ b/sidecar/limiter/limiter.go
@@ -157,7 +157,9 @@
 		s.updateMembership(now)
 	}
 	f(now)
-	s.updateGauges(now)
+	if !s.entry.Waiting() {
+		s.updateGauges(now)
+	}
 }
 
 // updateMembership takes over the published VMs. Until there is a configuration, other
@@ -295,6 +297,7 @@
 	for organisation, out := range s.entry.Tick(now, s.fresh()) {
 		s.apply(now, organisation, out)
 	}
+	s.updateGauges(now)
 }
 
 // handleNotice handles the credit messages of a received notice.
