--- a/sidecar/names/names.go
+++ b/sidecar/names/names.go
@@ -10,6 +10,7 @@
 	Notices        = "notices"
 	Publication    = "publication"
 	Authentication = "authentication"
+	Limiter        = "limiter"
 	Gate           = "gate"
 	Relay          = "relay"
 	Ingress        = "ingress"
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 
 	"cassiarack.example/lib/clock"
+	"cassiarack.example/lib/decision/ratelimit"
 	"cassiarack.example/lib/hangup"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/link"
@@ -27,6 +28,7 @@
 	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/ingress"
 	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/limiter"
 	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/notice"
@@ -187,7 +189,11 @@
 				Log: j.Logger("relay")}},
 		{Name: names.Authentication, Needs: []string{names.Publication, names.Journal}, Service: &authentication.Service{
 			Now: clock.Boot, Scope: scope, Log: j.Logger("authentication")}},
-		{Name: names.Ingress, Needs: []string{names.Publication, names.Authentication, names.Relay, names.Gate, names.Journal},
+		{Name: names.Limiter, Needs: []string{names.Notices, names.Publication, names.Journal}, Service: &limiter.Service{
+			Self: s.Fleet.Addr(), Scope: scope,
+			Shares: ratelimit.Shares{Window: s.LimitWindow, Over: s.LimitOver, Slack: s.LimitSlack},
+			Log:    j.Logger("limiter")}},
+		{Name: names.Ingress, Needs: []string{names.Publication, names.Authentication, names.Relay, names.Limiter, names.Gate, names.Journal},
 			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: bodyPool(s), Scope: scope,
 				Log: j.Logger("ingress")}},
 		{Name: names.Admin, Needs: []string{names.Ingress, names.Authentication, names.Metrics, names.Journal}, Service: &admin.Service{
