Let ledgers grant at once after a restart of their process

Cause: a new process granted nothing for 1 s and then began with an empty bucket.

Change: no wait, and a third of what the buckets leave of the bound, divided among them, as the first level. The bound then holds if all processes restart twice in a window. A node that becomes a ledger by a change of the list still waits and begins without credit.

Ruled out: that the wait is needed for restarts; the sum of an old and a new bucket that starts empty is the same as that of one bucket. It covered two ledgers that were replaced while down, whose overlap is that of the lists.

--- a/lib/decision/ratelimit/ledger.go
+++ b/lib/decision/ratelimit/ledger.go
@@ -28,7 +28,7 @@
 		delete(l.buckets.values, organisation)
 		return Grant{NotLedger: true}
 	}
-	b, ok := l.buckets.get(now, organisation, func() *Bucket { return NewBucket(l.Shares, limit, since) })
+	b, ok := l.buckets.get(now, organisation, func() *Bucket { return l.newBucket(limit, since) })
 	if !ok {
 		return Grant{RetryAfter: refusalMemory}
 	}
@@ -40,5 +40,16 @@
 	return b.Ask(now, asker, limit, wanted)
 }
 
+// newBucket returns the bucket of an organisation of which the node is a ledger since a
+// time. A node that has become one later than its process started begins without
+// credit, as its predecessor may still grant.
+func (l *Ledger) newBucket(limit Limit, since time.Time) *Bucket {
+	b := NewBucket(l.Shares, limit, since)
+	if since.Equal(l.Membership.startedAt) {
+		b.level = min(l.Shares.initial(limit), l.Shares.capacity(limit))
+	}
+	return b
+}
+
 // Buckets returns the number of buckets.
 func (l *Ledger) Buckets() int { return len(l.buckets.values) }
--- a/lib/decision/ratelimit/ledgers.go
+++ b/lib/decision/ratelimit/ledgers.go
@@ -69,6 +69,8 @@
 	vms  []netip.Addr
 	// generation counts the changes of the list.
 	generation uint64
+	// startedAt is when the process started.
+	startedAt time.Time
 	// knownSince is the time from which on the changes are known.
 	knownSince time.Time
 	// settle is how long the node grants nothing after a change that made it a ledger.
@@ -86,7 +88,7 @@
 // NewMembership returns the list of a node whose process started at the given time. It
 // is empty until Update is called.
 func NewMembership(self netip.Addr, started time.Time) *Membership {
-	return &Membership{self: self, knownSince: started.Add(startTime), settle: settleTime}
+	return &Membership{self: self, startedAt: started, knownSince: started, settle: settleTime}
 }
 
 // Update replaces the list of nodes, which must not be modified afterwards.
--- a/lib/decision/ratelimit/limit.go
+++ b/lib/decision/ratelimit/limit.go
@@ -32,9 +32,10 @@
 	// settleTime is how long a node that has become a ledger grants nothing. By then
 	// all nodes have seen the same change of the list of nodes.
 	settleTime = 2500 * time.Millisecond
-	// startTime is how long a new process grants nothing. Two ledgers that were replaced
-	// while they were down then stay within the bound with their replacements.
-	startTime = time.Second
+	// startShare is the part of what the buckets leave of the bound that they hold when
+	// their processes start. The bound then holds if all processes are restarted twice
+	// within a window, and the rest covers credits on their way.
+	startShare = 1.0 / 3
 	// contactValidity is how long a reply of a ledger shows that it can be reached.
 	contactValidity = time.Second
 	// idleTime is how long unused buckets and stocks are kept.
@@ -82,6 +83,15 @@
 	return max(1, (l.Burst+float64(s.Slack*burstShare))/ledgerCount)
 }
 
+// initial returns the credits that a ledger holds when its process starts. Otherwise all
+// requests would be refused for about a second after a restart of all nodes.
+func (s Shares) initial(l Limit) float64 {
+	window := s.Window.Seconds()
+	bound := float64(float64(l.Rate*window)+l.Burst)*(1+s.Over) + s.Slack
+	used := ledgerCount * (s.capacity(l) + float64(s.rate(l)*window))
+	return max(0, float64((bound-used)*startShare)/ledgerCount)
+}
+
 // interval returns the time in which a bucket with the given rate gains credits, within
 // the bounds of the times that refusals state.
 func interval(credits, rate float64) time.Duration {
