Share the slots of a gate between organisations

Cause: demand of one organisation delays and refuses the requests of all others.

Change: after those on time, nested calls go first, then kinds and organisations that get far less than the usual part of their requests, then by the priority of the organisation, that of the route, and the recent use of the gate's slots. A waiting request that was overtaken and would now wait too long is refused as displaced at once. A full queue of this kind is full for its last ones only: a request that goes before others does not wait for them, so it is queued, and the last one is displaced.

Finish takes the request instead of its route, since the time in the slot counts for its organisation; the existing tests call it so and their golden files are unchanged.

--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -39,6 +39,9 @@
 	ReasonExpired Reason = "expired"
 	// ReasonDoubtful means that the instance probably fails requests at present.
 	ReasonDoubtful Reason = "doubtful"
+	// ReasonDisplaced means that requests which came later go before this one, so that
+	// it would wait too long. Another instance may have room.
+	ReasonDisplaced Reason = "displaced"
 	// ReasonLeaving means that the instance takes no new requests, as it is about
 	// to stop.
 	ReasonLeaving Reason = "leaving"
@@ -53,6 +56,14 @@
 	Target, Deadline time.Time
 	// MaxWait is the longest expected wait with which the request is queued.
 	MaxWait time.Duration
+	// Organisation is the organisation that the request belongs to, and
+	// OrganisationPriority its rank.
+	Organisation         string
+	OrganisationPriority int
+	// Nested is set for requests that belong to no organisation although others do.
+	// Most are calls of instances, part of a run that has begun. They share the slots
+	// as one further organisation.
+	Nested bool
 }
 
 // Entry is a waiting request with the value that the caller passed to Offer.
@@ -61,6 +72,16 @@
 	Value T
 	// ArrivedAt is when the request was offered.
 	ArrivedAt time.Time
+
+	// overtaken is set once a later request of another organisation went before.
+	overtaken bool
+}
+
+// run is a running request.
+type run struct {
+	Request
+	startedAt time.Time
+	expected  time.Duration
 }
 
 // Queue holds the running and waiting requests of one instance. It is not safe
@@ -69,15 +90,16 @@
 	// Slots is the number of requests that may run concurrently.
 	Slots int
 
-	running  int
+	running  map[T]run
 	waiting  []Entry[T]
+	shares   shares
 	runTimes map[string]time.Duration
 	// observations is the number of observed run times of each route.
 	observations map[string]int
 }
 
 // Running returns the number of running requests.
-func (q *Queue[T]) Running() int { return q.running }
+func (q *Queue[T]) Running() int { return len(q.running) }
 
 // Waiting returns the number of waiting requests.
 func (q *Queue[T]) Waiting() int { return len(q.waiting) }
@@ -103,21 +125,38 @@
 // Offer decides on a new request. The request starts at once if start is true;
 // otherwise it waits if reason is empty, and is refused if it is not.
 func (q *Queue[T]) Offer(now time.Time, r Request, v T) (start bool, reason Reason) {
-	if q.running < q.Slots && len(q.waiting) == 0 {
+	q.shares.request(now, r)
+	if len(q.running) < q.Slots && len(q.waiting) == 0 {
 		if !q.canStart(now, r) {
 			return false, ReasonExpired
 		}
-		q.running++
+		q.start(now, r, v)
 		return true, ""
 	}
-	wait := q.expectedWait(now, r)
-	if wait > r.MaxWait || now.Add(wait).Add(q.minRunTime(r)).After(r.Deadline) {
+	if q.waitsTooLong(now, r) {
 		return false, ReasonFull
 	}
+	q.markOvertaken(now, r)
 	q.waiting = append(q.waiting, Entry[T]{Request: r, Value: v, ArrivedAt: now})
 	return false, ""
 }
 
+// start gives a slot to a request.
+func (q *Queue[T]) start(now time.Time, r Request, v T) {
+	if q.running == nil {
+		q.running = make(map[T]run)
+	}
+	expected := q.ExpectedRunTime(r.Route)
+	q.running[v] = run{Request: r, startedAt: now, expected: expected}
+	q.shares.begin(now, r, expected)
+}
+
+// waitsTooLong reports whether r would wait longer than it may.
+func (q *Queue[T]) waitsTooLong(now time.Time, r Request) bool {
+	wait := q.expectedWait(now, r)
+	return wait > r.MaxWait || now.Add(wait).Add(q.minRunTime(r)).After(r.Deadline)
+}
+
 // expectedWait returns how long a new request is expected to wait: the expected
 // run times of the requests that run or wait ahead of it, divided by the number
 // of slots.
@@ -129,7 +168,7 @@
 		}
 	}
 	// Running requests are half done on average.
-	ahead += time.Duration(q.running) * q.MeanRunTime() / 2
+	ahead += time.Duration(len(q.running)) * q.MeanRunTime() / 2
 	return ahead / time.Duration(max(q.Slots, 1))
 }
 
@@ -158,15 +197,16 @@
 }
 
 // runsBefore reports whether a is started before b: requests that are on time
-// come first, then those of the more urgent priority, then those with the
-// earlier target.
+// come first, then nested ones, those of neglected holders, of the more urgent
+// organisation, of the more urgent route, of the holder that used less of the
+// slots, and last those with the earlier target.
 func (q *Queue[T]) runsBefore(now time.Time, a, b Request) bool {
 	onTimeA, onTimeB := q.onTime(now, a), q.onTime(now, b)
 	if onTimeA != onTimeB {
 		return onTimeA
 	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+	if c := q.shares.compare(now, a, b); c != 0 {
+		return c < 0
 	}
 	return a.Target.Before(b.Target)
 }
@@ -187,7 +227,7 @@
 		}
 		return late
 	})
-	if q.running >= q.Slots || len(q.waiting) == 0 {
+	if len(q.running) >= q.Slots || len(q.waiting) == 0 {
 		return next, false, expired
 	}
 	best := 0
@@ -198,24 +238,29 @@
 	}
 	next = q.waiting[best]
 	q.waiting = slices.Delete(q.waiting, best, best+1)
-	q.running++
+	q.start(now, next.Request, next.Value)
 	return next, true, expired
 }
 
-// Finish frees the slot of a request that ran for the time ran. A time of zero
-// or less is not counted as an observation.
-func (q *Queue[T]) Finish(route string, ran time.Duration) {
-	q.running--
+// Finish frees the slot of a request whose answer took the time ran. A time of
+// zero or less is not counted as an observation.
+func (q *Queue[T]) Finish(now time.Time, v T, ran time.Duration) {
+	r, ok := q.running[v]
+	if !ok {
+		return
+	}
+	delete(q.running, v)
+	q.shares.end(now, r)
 	if ran <= 0 {
 		return
 	}
-	old := q.ExpectedRunTime(route)
+	old := q.ExpectedRunTime(r.Route)
 	ran = min(ran, maxOutlierFactor*old)
 	if q.runTimes == nil {
 		q.runTimes, q.observations = make(map[string]time.Duration), make(map[string]int)
 	}
-	q.observations[route]++
-	q.runTimes[route] = old + time.Duration(learningRate*float64(ran-old))
+	q.observations[r.Route]++
+	q.runTimes[r.Route] = old + time.Duration(learningRate*float64(ran-old))
 }
 
 // Withdraw removes a waiting request and reports whether it was waiting.
--- a/lib/decision/admission/admission_test.go
+++ b/lib/decision/admission/admission_test.go
@@ -25,9 +25,11 @@
 		fmt.Fprintf(&b, "%v offer %s: started %t, refused %q, running %d, waiting %d\n", now, name, started, reason,
 			q.Running(), q.Waiting())
 	}
+	running := "first"
 	finish := func(now, ran time.Duration) {
-		q.Finish("r", ran)
+		q.Finish(start.Add(now), running, ran)
 		next, started, expired := q.Next(start.Add(now))
+		running = next.Value
 		fmt.Fprintf(&b, "%v finish after %v: next %q, started %t, expired %d, expected %v\n", now, ran, next.Value,
 			started, len(expired), q.ExpectedRunTime("r").Round(ms))
 	}
@@ -58,7 +60,11 @@
 		if l := q.LearnedRunTime("r"); l != 0 {
 			t.Errorf("after %d runs of 750 ms the learned run time is %v, want none yet", n, l)
 		}
-		q.Finish("r", 750*ms)
+		now := start.Add(time.Duration(n) * time.Second)
+		if ok, reason := q.Offer(now, Request{Route: "r", Deadline: now.Add(time.Minute)}, "run"); !ok {
+			t.Fatalf("run %d was refused: %s", n, reason)
+		}
+		q.Finish(now.Add(750*ms), "run", 750*ms)
 	}
 	if l := q.LearnedRunTime("r"); l < 500*ms || l > 750*ms {
 		t.Errorf("after %d runs of 750 ms the learned run time is %v, want 500 ms to 750 ms", minObservations, l)
@@ -95,7 +101,7 @@
 				queueInTime++
 			}
 			delete(running, id)
-			q.Finish("r", work)
+			q.Finish(r.ends, id, work)
 			if e, ok, _ := q.Next(r.ends); ok {
 				running[e.Value] = run{e.ArrivedAt, r.ends.Add(work)}
 			}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -214,19 +214,47 @@
 		j.decision <- reason
 		return
 	}
-	start, reason := s.queue.Offer(now, admission.Request{
-		Route: r.GetRoute(), Priority: int(r.GetPriority()),
-		Target: now.Add(time.Duration(r.GetRemainingTarget())), Deadline: now.Add(time.Duration(r.GetRemaining())),
-		MaxWait: time.Duration(r.GetPatience()),
-	}, j)
-	if reason != "" {
+	start, reason := s.queue.Offer(now, admissionRequest(now, r), j)
+	switch {
+	case reason != "":
 		j.decision <- reason
-	} else if start {
+	case start:
 		s.start(now, j)
+	default:
+		s.displace(now)
 	}
 	s.notifyPeers(now)
 }
 
+// admissionRequest returns the properties of a request offered at now that decide
+// when it runs.
+func admissionRequest(now time.Time, r *wire.RunRequest) admission.Request {
+	return admission.Request{
+		Route: r.GetRoute(), Priority: int(r.GetPriority()),
+		Target: now.Add(time.Duration(r.GetRemainingTarget())), Deadline: now.Add(time.Duration(r.GetRemaining())),
+		MaxWait: time.Duration(r.GetPatience()), Organisation: string(r.GetOrganisation()),
+		OrganisationPriority: int(r.GetOrganisationPriority()),
+		Nested:               r.GetWithoutOrganisation() && len(r.GetOrganisation()) == 0,
+	}
+}
+
+// displace refuses the waiting request that would wait too long because requests of
+// other organisations overtook it.
+func (s *Service) displace(now time.Time) {
+	e, ok := s.queue.Displaced(now)
+	if !ok {
+		return
+	}
+	e.Value.decision <- admission.ReasonDisplaced
+	attempt := string(e.Value.request.GetAttempt())
+	if s.journal.AllowRequestLine(now, attempt, false) {
+		use, part := s.queue.RecentUse(now, e.Request)
+		s.Log.Info("A waiting request was displaced.", "request", attempt, "route", e.Route, "organisation", e.Organisation,
+			"organisationPriority", e.OrganisationPriority, "priority", e.Priority, "recentUse", use, "partOfUse", part,
+			"waited", now.Sub(e.ArrivedAt), "running", s.queue.Running(), "waiting", s.queue.Waiting())
+	}
+}
+
 // refusalReason returns why the request must be refused regardless of the load, or
 // an empty reason. It marks the request as a test if it tests a doubtful
 // instance.
@@ -278,7 +306,7 @@
 			return
 		}
 		if s.leaving || s.draining(next.Value.request.GetInstance()) {
-			s.queue.Finish(next.Route, 0)
+			s.queue.Finish(now, next.Value, 0)
 			next.Value.decision <- admission.ReasonLeaving
 			continue
 		}
@@ -297,7 +325,7 @@
 
 // finish releases the slot of a request and records the evidence from its outcome.
 func (s *Service) finish(now time.Time, j *job, e evidence) {
-	s.queue.Finish(j.request.GetRoute(), e.runTime)
+	s.queue.Finish(now, j, e.runTime)
 	if j.isTest {
 		s.runningTests--
 	}
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -67,7 +67,7 @@
 	if reason := s.awaitDecision(ctx, j); reason != "" {
 		if now := time.Now(); s.journal.AllowRequestLine(now, string(r.GetAttempt()), false) {
 			s.Log.Info("A request was refused.", "request", string(r.GetAttempt()), "instance", r.GetInstance(),
-				"reason", reason, "patience", time.Duration(r.GetPatience()), "acceptance", r.GetAcceptance(),
+				"organisation", string(r.GetOrganisation()), "reason", reason, "patience", time.Duration(r.GetPatience()), "acceptance", r.GetAcceptance(),
 				"waited", now.Sub(received), "left", time.Duration(r.GetRemaining())-now.Sub(received))
 		}
 		s.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter("gate_refusals").Inc(1)
--- a/sidecar/gate/run_test.go
+++ b/sidecar/gate/run_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -59,3 +60,19 @@
 	}
 	golden.Check(t, "outcome", b.String())
 }
+
+// TestAdmissionRequest guards against a gate that orders requests without regard to
+// their organisations, or that takes those of an organisation for calls of instances.
+func TestAdmissionRequest(t *testing.T) {
+	var b strings.Builder
+	for _, r := range []*wire.RunRequest{
+		{Route: "r", Priority: 2},
+		{Route: "r", Priority: 2, Organisation: []byte("a\xfb"), OrganisationPriority: 1},
+		{Route: "r", Priority: 2, WithoutOrganisation: true},
+		{Route: "r", Priority: 2, Organisation: []byte("a"), WithoutOrganisation: true},
+	} {
+		q := admissionRequest(time.Time{}, r)
+		fmt.Fprintf(&b, "organisation %q, priorities %d and %d, nested %t\n", q.Organisation, q.OrganisationPriority, q.Priority, q.Nested)
+	}
+	golden.Check(t, "admission", b.String())
+}
