Share the budget for repeats between organisations

Cause: one organisation whose requests fail can use all repeats of a sidecar.

Change: while others have asked for repeats within the window, an organisation takes at most twice its equal share, but at least one. Without organisations in the configuration nothing changes. Denied repeats are counted.

--- a/lib/decision/retry/window.go
+++ b/lib/decision/retry/window.go
@@ -16,8 +16,16 @@
 
 	repeats  []time.Time
 	requests []time.Time
+	// asked holds when each organisation last asked for a repeat, and taken the
+	// repeats that it took. Both hold only organisations that asked within Length.
+	asked map[string]time.Time
+	taken map[string][]time.Time
 }
 
+// maxShares is the part of the budget that one organisation may use while others
+// ask for repeats, as a multiple of the equal share.
+const maxShares = 2
+
 // RecordRequest counts a request that is not a repeat.
 func (w *WindowBudget) RecordRequest(now time.Time) {
 	w.requests = append(dropBefore(w.requests, now.Add(-w.Length)), now)
@@ -44,6 +52,42 @@
 	return true
 }
 
+// AllowShare takes one repeat for an organisation, like Allow without a reserve. While
+// other organisations have asked within Length, it allows at most maxShares equal
+// shares of the budget, but at least one repeat.
+func (w *WindowBudget) AllowShare(now time.Time, slack float64, organisation string) bool {
+	w.recordAsk(now, organisation)
+	if n := len(w.asked); n > 1 {
+		budget := w.Remaining(now, slack) + float64(len(w.repeats))
+		if float64(len(w.taken[organisation])+1) > max(1, maxShares*budget/float64(n)) {
+			return false
+		}
+	}
+	if !w.Allow(now, slack, 0) {
+		return false
+	}
+	w.taken[organisation] = append(w.taken[organisation], now)
+	return true
+}
+
+// recordAsk records that an organisation asks for a repeat and drops what is older
+// than Length.
+func (w *WindowBudget) recordAsk(now time.Time, organisation string) {
+	if w.asked == nil {
+		w.asked, w.taken = make(map[string]time.Time), make(map[string][]time.Time)
+	}
+	w.asked[organisation] = now
+	start := now.Add(-w.Length)
+	for name, at := range w.asked {
+		if !at.After(start) {
+			delete(w.asked, name)
+			delete(w.taken, name)
+			continue
+		}
+		w.taken[name] = dropBefore(w.taken[name], start)
+	}
+}
+
 // dropBefore returns the sorted times that are after start.
 func dropBefore(times []time.Time, start time.Time) []time.Time {
 	n := 0
--- a/lib/decision/retry/window_test.go
+++ b/lib/decision/retry/window_test.go
@@ -1,11 +1,15 @@
 package retry
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"cassiarack.example/lib/golden"
 )
 
 // TestWindowBudget guards against repeats of all nodes that together exceed the
@@ -91,3 +95,37 @@
 	}
 	is.True(restarted > 2*nodes && allowed > 0)
 }
+
+// TestWindowBudgetShares guards against one organisation that uses up the repeats
+// which others need, and against a bound on an organisation that is alone.
+func TestWindowBudgetShares(t *testing.T) {
+	var b strings.Builder
+	for _, others := range []int{0, 1, 4, 30} {
+		w := WindowBudget{Length: 10 * time.Second, Ratio: 0.2}
+		now := time.Unix(0, 0)
+		taken := map[string]int{}
+		for n := range 200 {
+			now = now.Add(20 * time.Millisecond)
+			w.RecordRequest(now)
+			// The first organisation asks for a repeat of each request, and the
+			// others in turn.
+			ask := []string{"first"}
+			if others > 0 {
+				ask = append(ask, fmt.Sprintf("other%d", n%others))
+			}
+			for _, name := range ask {
+				if w.AllowShare(now, 4, name) {
+					taken[name]++
+				}
+			}
+		}
+		sum := 0
+		for _, n := range taken {
+			sum += n
+		}
+		fmt.Fprintf(&b, "%d others: first %d, all %d of a budget of 44\n", others, taken["first"], sum)
+		later := now.Add(w.Length)
+		fmt.Fprintf(&b, "  a window later, alone: allowed %t, organisations kept %d\n", w.AllowShare(later, 4, "first"), len(w.asked))
+	}
+	golden.Check(t, "shares", b.String())
+}
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -308,10 +308,24 @@
 	return s.RepeatSlack * repeatBudgetShare / float64(nodes)
 }
 
-// takeRepeat takes one repeat from the budget of a service and reports whether the
-// budget allowed it.
-func (s *Service) takeRepeat(now time.Time, service string) bool {
-	return s.budget(service).Allow(now, s.slack(), 0)
+// takeRepeat takes one repeat from the budget of the service of r and reports whether
+// the budget allowed it. If the configuration has organisations, they share the
+// budget; requests that belong to none count as one further organisation.
+func (s *Service) takeRepeat(now time.Time, r *message.Request) bool {
+	b := s.budget(r.Service)
+	t := s.publication.State().Table
+	if t == nil || len(t.Configuration.Organisations) == 0 {
+		return b.Allow(now, s.slack(), 0)
+	}
+	name := ""
+	if r.Organisation != nil {
+		name = r.Organisation.Name
+	}
+	if b.AllowShare(now, s.slack(), name) {
+		return true
+	}
+	s.Scope.Counter("repeats_denied").Inc(1)
+	return false
 }
 
 // mayTest reports whether a request may test a doubtful instance: its route must
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/retry"
 	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/decision/routing"
@@ -105,6 +106,7 @@
 		{"lost reply runs once", false, nil, io.ErrUnexpectedEOF, http.StatusBadGateway, 1},
 		{"lost reply is repeated", true, nil, io.ErrUnexpectedEOF, http.StatusBadGateway, 2},
 		{"gates are full", false, reply(refused, 0, "full"), nil, http.StatusServiceUnavailable, 0},
+		{"displaced at all gates", false, reply(refused, 0, "displaced"), nil, http.StatusServiceUnavailable, 9},
 		{"no time is left at the gate", false, reply(refused, 0, "expired"), nil, http.StatusServiceUnavailable, 1},
 		{"instances refuse", false, reply(refused, 503, gate.ReasonInstance), nil, http.StatusServiceUnavailable, 3},
 	}
@@ -205,3 +207,31 @@
 	is.True(ok)
 	is.Equal(chosen.ID, "a")
 }
+
+// TestRepeatShares guards against one organisation that uses up the repeats of the
+// sidecar while others need some, and against such a bound where the configuration
+// has no organisations.
+func TestRepeatShares(t *testing.T) {
+	is := is.New(t)
+	for _, organisations := range [][]organisation.Organisation{nil, {{Name: "first"}, {Name: "second"}, {Name: "third"}}} {
+		s, f := start(t, nil)
+		f.state.Table = routing.Compile(&routing.Configuration{Organisations: organisations})
+		now := time.Now()
+		s.RepeatRatio, s.RepeatSlack = 0, 120
+		allowed := 0
+		for n := range 100 {
+			r := request(true)
+			if len(organisations) > 0 {
+				r.Organisation = &organisations[0]
+			}
+			if n < 2 && len(organisations) > 0 {
+				r.Organisation = &organisations[n+1]
+			}
+			if s.takeRepeat(now, r) {
+				allowed++
+			}
+		}
+		// Two thirds of 102 repeats for the first organisation, one for each other.
+		is.Equal(allowed, map[bool]int{true: 100, false: 70}[organisations == nil])
+	}
+}
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -270,7 +270,7 @@
 // false if the budget does not allow it or that goroutine does not reply.
 func (s *Service) requestRepeat(ctx context.Context, r *message.Request) bool {
 	allowed := make(chan bool, 1)
-	if err := s.runAndWait(ctx, func(now time.Time) { allowed <- s.takeRepeat(now, r.Service) }); err != nil {
+	if err := s.runAndWait(ctx, func(now time.Time) { allowed <- s.takeRepeat(now, r) }); err != nil {
 		return false
 	}
 	return <-allowed
