Serve each organisation and kind at a quarter of the usual rate

Cause: strict order by priority leaves the least urgent requests without slots in an overload.

Change: a gate counts the offers of the first round and those it admitted, by organisation, by priority of the route and for the light organisations of each priority. Those below 0.35 (light ones 0.8) of the part of all are promoted. The order is computed once for each request of a comparison.

--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -64,6 +64,13 @@
 	// Most are calls of instances, part of a run that has begun. They share the slots
 	// as one further organisation.
 	Nested bool
+	// Again is set if other instances refused the request in a first round of offers,
+	// in which it was counted as demand.
+	Again bool
+
+	// promoted is set if far fewer requests of this organisation or kind were admitted
+	// recently than of all. light is set if the organisation used little of the slots.
+	promoted, light bool
 }
 
 // Entry is a waiting request with the value that the caller passed to Offer.
@@ -125,17 +132,19 @@
 // Offer decides on a new request. The request starts at once if start is true;
 // otherwise it waits if reason is empty, and is refused if it is not.
 func (q *Queue[T]) Offer(now time.Time, r Request, v T) (start bool, reason Reason) {
-	q.shares.request(now, r)
+	q.shares.request(now, &r)
 	if len(q.running) < q.Slots && len(q.waiting) == 0 {
 		if !q.canStart(now, r) {
 			return false, ReasonExpired
 		}
+		q.shares.admit(now, r)
 		q.start(now, r, v)
 		return true, ""
 	}
 	if q.waitsTooLong(now, r) {
 		return false, ReasonFull
 	}
+	q.shares.admit(now, r)
 	q.markOvertaken(now, r)
 	q.waiting = append(q.waiting, Entry[T]{Request: r, Value: v, ArrivedAt: now})
 	return false, ""
@@ -151,25 +160,24 @@
 	q.shares.begin(now, r, expected)
 }
 
-// waitsTooLong reports whether r would wait longer than it may.
+// waitsTooLong reports whether the expected wait of r exceeds MaxWait or leaves too
+// little time before the deadline. The expected wait is the run times of the requests
+// that run or wait ahead of it, divided by the number of slots.
 func (q *Queue[T]) waitsTooLong(now time.Time, r Request) bool {
-	wait := q.expectedWait(now, r)
-	return wait > r.MaxWait || now.Add(wait).Add(q.minRunTime(r)).After(r.Deadline)
-}
-
-// expectedWait returns how long a new request is expected to wait: the expected
-// run times of the requests that run or wait ahead of it, divided by the number
-// of slots.
-func (q *Queue[T]) expectedWait(now time.Time, r Request) time.Duration {
-	var ahead time.Duration
-	for _, e := range q.waiting {
-		if q.runsBefore(now, e.Request, r) {
+	slots := time.Duration(max(q.Slots, 1))
+	allowed := min(r.MaxWait, r.Deadline.Sub(now)-q.minRunTime(r))
+	// Running requests are half done on average.
+	ahead := time.Duration(len(q.running)) * q.MeanRunTime() / 2
+	if ahead/slots > allowed {
+		return true
+	}
+	p := q.position(now, r)
+	for i := range q.waiting {
+		if e := &q.waiting[i]; q.position(now, e.Request).before(p) {
 			ahead += q.ExpectedRunTime(e.Route)
 		}
 	}
-	// Running requests are half done on average.
-	ahead += time.Duration(len(q.running)) * q.MeanRunTime() / 2
-	return ahead / time.Duration(max(q.Slots, 1))
+	return ahead/slots > allowed
 }
 
 // MeanRunTime returns the mean of the expected run times of the observed
@@ -196,19 +204,41 @@
 	return now.Add(q.minRunTime(r)).Before(r.Deadline)
 }
 
-// runsBefore reports whether a is started before b: requests that are on time
-// come first, then nested ones, those of neglected holders, of the more urgent
-// organisation, of the more urgent route, of the holder that used less of the
+// position is the place of a request in the order of starts at one time.
+type position struct {
+	onTime, nested, promoted bool
+	organisationPriority     int
+	priority                 int
+	recentUse                time.Duration
+	target                   time.Time
+}
+
+// position returns the place of r in the order of starts.
+func (q *Queue[T]) position(now time.Time, r Request) position {
+	return position{onTime: q.onTime(now, r), nested: r.Nested, promoted: r.promoted,
+		organisationPriority: r.OrganisationPriority, priority: r.Priority, recentUse: q.shares.recent(now, r), target: r.Target}
+}
+
+// before reports whether a request at a is started before one at b: requests that are
+// on time come first, then nested ones, promoted ones, those of the more urgent
+// organisation, of the more urgent route, of the organisation that used less of the
 // slots, and last those with the earlier target.
-func (q *Queue[T]) runsBefore(now time.Time, a, b Request) bool {
-	onTimeA, onTimeB := q.onTime(now, a), q.onTime(now, b)
-	if onTimeA != onTimeB {
-		return onTimeA
-	}
-	if c := q.shares.compare(now, a, b); c != 0 {
-		return c < 0
+func (a position) before(b position) bool {
+	switch {
+	case a.onTime != b.onTime:
+		return a.onTime
+	case a.nested != b.nested:
+		return a.nested
+	case a.promoted != b.promoted:
+		return a.promoted
+	case a.organisationPriority != b.organisationPriority:
+		return a.organisationPriority < b.organisationPriority
+	case a.priority != b.priority:
+		return a.priority < b.priority
+	case a.recentUse != b.recentUse:
+		return a.recentUse < b.recentUse
 	}
-	return a.Target.Before(b.Target)
+	return a.target.Before(b.target)
 }
 
 // onTime reports whether r, started now, is expected to finish before its target.
@@ -224,16 +254,17 @@
 		late := !q.canStart(now, e.Request)
 		if late {
 			expired = append(expired, e)
+			q.shares.remove(now, e.Request)
 		}
 		return late
 	})
 	if len(q.running) >= q.Slots || len(q.waiting) == 0 {
 		return next, false, expired
 	}
-	best := 0
+	best, first := 0, q.position(now, q.waiting[0].Request)
 	for i := range q.waiting {
-		if q.runsBefore(now, q.waiting[i].Request, q.waiting[best].Request) {
-			best = i
+		if p := q.position(now, q.waiting[i].Request); p.before(first) {
+			best, first = i, p
 		}
 	}
 	next = q.waiting[best]
--- a/lib/decision/admission/doc.go
+++ b/lib/decision/admission/doc.go
@@ -7,4 +7,10 @@
 // told without delay. Among the waiting requests, those that can still be
 // answered within their target run first; they are ordered by the priority of
 // their route and then by their target.
+//
+// Requests that belong to organisations share the slots. Calls of instances go first,
+// then organisations and kinds of which far fewer requests than usual were admitted,
+// then the priority of the organisation, that of the route, and the organisation that
+// used less of the slots. Instances do not communicate: each sees a random sample of
+// all requests, so equal shares at each give about equal shares over the service.
 package admission
--- a/lib/decision/admission/shares.go
+++ b/lib/decision/admission/shares.go
@@ -1,7 +1,7 @@
 package admission
 
 import (
-	"cmp"
+	"slices"
 	"time"
 
 	"cassiarack.example/lib/decision/fairness"
@@ -19,91 +19,85 @@
 	// before others. The rule asks for a quarter; the rest covers the spread between
 	// instances, each of which sees only a sample.
 	neglectedPart = 0.35
+	// neglectedLightPart is that part for the light organisations of a priority.
+	// It is higher, as those that use less go before others of their priority.
+	neglectedLightPart = 0.8
 )
 
-// rank identifies a kind of requests by its priorities. Strict order by rank would
-// let the least urgent ones starve.
-type rank struct{ organisation, route int }
-
-func rankOf(r Request) rank { return rank{r.OrganisationPriority, r.Priority} }
-
 // shares decides how organisations share the slots. Requests without organisation
 // that are not nested are not counted.
+//
+// Strict order by priority would let the least urgent requests starve. So the granted
+// part of requests is recorded for each organisation, for each priority of routes, and
+// for the light organisations of each priority together. A light one used less of the
+// slots than the mean, and sends too few requests to be counted alone.
 type shares struct {
 	use     fairness.Use[string]
 	holders fairness.Grants[string]
-	ranks   fairness.Grants[rank]
+	kinds   fairness.Grants[int]
+	light   fairness.Grants[int]
 }
 
 // shared reports whether r counts towards the share of an organisation. Nested
 // requests count together, as the organisation without a name.
 func shared(r Request) bool { return r.Organisation != "" || r.Nested }
 
-// request records an offered request.
-func (s *shares) request(now time.Time, r Request) {
-	if !shared(r) {
+// request records an offered request and promotes it if its organisation or its kind
+// is neglected.
+func (s *shares) request(now time.Time, r *Request) {
+	if !shared(*r) {
 		return
 	}
 	if s.use.HalfLife == 0 {
 		s.use = fairness.Use[string]{HalfLife: useHalfLife, Limit: maxHolders}
 		s.holders = fairness.Grants[string]{HalfLife: grantHalfLife, Limit: maxHolders}
-		s.ranks = fairness.Grants[rank]{HalfLife: grantHalfLife, Limit: maxHolders}
+		s.kinds = fairness.Grants[int]{HalfLife: grantHalfLife, Limit: maxHolders}
+		s.light = fairness.Grants[int]{HalfLife: grantHalfLife, Limit: maxHolders}
+	}
+	r.light = s.use.IsLight(now, r.Organisation)
+	if !r.Again {
+		s.holders.Request(now, r.Organisation)
+		s.kinds.Request(now, r.Priority)
+		if r.light {
+			s.light.Request(now, r.OrganisationPriority)
+		}
 	}
-	s.holders.Request(now, r.Organisation)
-	s.ranks.Request(now, rankOf(r))
+	all := s.holders.Part(now)
+	r.promoted = s.holders.Below(now, r.Organisation, neglectedPart*all) || s.kinds.Below(now, r.Priority, neglectedPart*all) ||
+		r.light && s.light.Below(now, r.OrganisationPriority, neglectedLightPart*all)
 }
 
-// begin records that r got a slot.
-func (s *shares) begin(now time.Time, r Request, expected time.Duration) {
+// admit records that r runs or waits. It counts as granted from then on: if it
+// counted only from its start, all requests of a neglected kind would be promoted
+// until the first of them starts.
+func (s *shares) admit(now time.Time, r Request) { s.grant(now, r, 1) }
+
+// remove records that r left the queue without a slot.
+func (s *shares) remove(now time.Time, r Request) { s.grant(now, r, -1) }
+
+func (s *shares) grant(now time.Time, r Request, n int) {
 	if !shared(r) {
 		return
 	}
-	s.holders.Grant(now, r.Organisation)
-	s.ranks.Grant(now, rankOf(r))
-	s.use.Begin(now, r.Organisation, expected)
-}
-
-// end records that a request left its slot.
-func (s *shares) end(now time.Time, r run) {
-	if shared(r.Request) {
-		s.use.End(now, r.Organisation, r.expected, now.Sub(r.startedAt))
+	s.holders.Grant(now, r.Organisation, n)
+	s.kinds.Grant(now, r.Priority, n)
+	if r.light {
+		s.light.Grant(now, r.OrganisationPriority, n)
 	}
 }
 
-// neglected reports whether far fewer of the requests of the organisation or of the
-// rank of r were granted recently than of all requests.
-func (s *shares) neglected(now time.Time, r Request) bool {
-	return shared(r) && (s.holders.Below(now, r.Organisation, neglectedPart) || s.ranks.Below(now, rankOf(r), neglectedPart))
-}
-
-// compare returns a negative number if a goes before b, a positive one if b goes
-// before a, and zero if neither does.
-func (s *shares) compare(now time.Time, a, b Request) int {
-	if !shared(a) && !shared(b) {
-		return cmp.Compare(a.Priority, b.Priority)
-	}
-	if a.Nested != b.Nested {
-		return before(a.Nested)
-	}
-	if na, nb := s.neglected(now, a), s.neglected(now, b); na != nb {
-		return before(na)
-	}
-	if c := cmp.Compare(a.OrganisationPriority, b.OrganisationPriority); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
-		return c
+// begin records that r got a slot.
+func (s *shares) begin(now time.Time, r Request, expected time.Duration) {
+	if shared(r) {
+		s.use.Begin(now, r.Organisation, expected)
 	}
-	return cmp.Compare(s.recent(now, a), s.recent(now, b))
 }
 
-// before returns the result of a comparison in which only one side has a property
-// that comes first.
-func before(first bool) int {
-	if first {
-		return -1
+// end records that a request left its slot.
+func (s *shares) end(now time.Time, r run) {
+	if shared(r.Request) {
+		s.use.End(now, r.Organisation, r.expected, now.Sub(r.startedAt))
 	}
-	return 1
 }
 
 // recent returns the recent use of the organisation of r.
@@ -130,10 +124,11 @@
 	if !shared(r) {
 		return
 	}
+	p := q.position(now, r)
 	for i := range q.waiting {
 		e := &q.waiting[i]
 		if shared(e.Request) && e.Organisation != r.Organisation && !e.overtaken {
-			e.overtaken = q.runsBefore(now, r, e.Request)
+			e.overtaken = p.before(q.position(now, e.Request))
 		}
 	}
 }
@@ -144,9 +139,13 @@
 // one can still be served by another instance.
 func (q *Queue[T]) Displaced(now time.Time) (Entry[T], bool) {
 	last := -1
-	for i, e := range q.waiting {
-		if shared(e.Request) && (last < 0 || !q.runsBefore(now, e.Request, q.waiting[last].Request)) {
-			last = i
+	var lastPosition position
+	for i := range q.waiting {
+		if !shared(q.waiting[i].Request) {
+			continue
+		}
+		if p := q.position(now, q.waiting[i].Request); last < 0 || !p.before(lastPosition) {
+			last, lastPosition = i, p
 		}
 	}
 	if last < 0 {
@@ -156,6 +155,7 @@
 	if !e.overtaken || !q.waitsTooLong(now, e.Request) {
 		return Entry[T]{}, false
 	}
-	q.waiting = append(q.waiting[:last], q.waiting[last+1:]...)
+	q.waiting = slices.Delete(q.waiting, last, last+1)
+	q.shares.remove(now, e.Request)
 	return e, true
 }
--- a/lib/decision/fairness/fairness_test.go
+++ b/lib/decision/fairness/fairness_test.go
@@ -71,16 +71,16 @@
 		g.Request(now, "never")
 		g.Request(now, "half")
 		g.Request(now, "always")
-		g.Grant(now, "always")
+		g.Grant(now, "always", 1)
 		if n%2 == 0 {
-			g.Grant(now, "half")
+			g.Grant(now, "half", 1)
 		}
 		if n%3 == 0 {
-			fmt.Fprintf(&b, "%d: below half of all: never %t, half %t, always %t\n", n+1, g.Below(now, "never", 0.5),
-				g.Below(now, "half", 0.5), g.Below(now, "always", 0.5))
+			fmt.Fprintf(&b, "%d: below half of all: never %t, half %t, always %t\n", n+1, g.Below(now, "never", 0.5*g.Part(now)),
+				g.Below(now, "half", 0.5*g.Part(now)), g.Below(now, "always", 0.5*g.Part(now)))
 		}
 	}
 	later := epoch.Add(20 * time.Second)
-	fmt.Fprintf(&b, "long after: never %t\n", g.Below(later, "never", 0.5))
+	fmt.Fprintf(&b, "long after: never %t\n", g.Below(later, "never", 0.5*g.Part(later)))
 	golden.Check(t, "grants", b.String())
 }
--- a/lib/decision/fairness/grants.go
+++ b/lib/decision/fairness/grants.go
@@ -33,22 +33,23 @@
 	g.all.requests.add(now, g.HalfLife, 1)
 }
 
-// Grant records that a request of k was granted.
-func (g *Grants[K]) Grant(now time.Time, k K) {
-	g.of(now, k).granted.add(now, g.HalfLife, 1)
-	g.all.granted.add(now, g.HalfLife, 1)
+// Grant records that n requests of k were granted. A negative number takes grants
+// back.
+func (g *Grants[K]) Grant(now time.Time, k K, n int) {
+	g.of(now, k).granted.add(now, g.HalfLife, float64(n))
+	g.all.granted.add(now, g.HalfLife, float64(n))
 }
 
 func (g *Grants[K]) of(now time.Time, k K) *grants {
 	return g.table.get(k, g.Limit, func(r *grants) float64 { return r.requests.valueAt(now, g.HalfLife) })
 }
 
-// Below reports whether the granted part of the requests of k is less than the
-// given fraction of that of all requests.
-func (g *Grants[K]) Below(now time.Time, k K, fraction float64) bool {
+// Part returns the granted part of all requests.
+func (g *Grants[K]) Part(now time.Time) float64 { return g.all.part(now, g.HalfLife) }
+
+// Below reports whether the granted part of the requests of k is less than part. It is
+// not known after few requests.
+func (g *Grants[K]) Below(now time.Time, k K, part float64) bool {
 	r := g.table.find(k)
-	if r == nil || r.requests.valueAt(now, g.HalfLife) < minRequests {
-		return false
-	}
-	return r.part(now, g.HalfLife) < fraction*g.all.part(now, g.HalfLife)
+	return r != nil && r.requests.valueAt(now, g.HalfLife) >= minRequests && r.part(now, g.HalfLife) < part
 }
--- a/lib/decision/fairness/use.go
+++ b/lib/decision/fairness/use.go
@@ -15,6 +15,7 @@
 	Limit int
 
 	table table[K, holder]
+	all   holder
 }
 
 // holder is the use of one holder, in seconds.
@@ -35,6 +36,11 @@
 		}
 		return h.ended.valueAt(now, u.HalfLife)
 	})
+	h.begin(expected)
+	u.all.begin(expected)
+}
+
+func (h *holder) begin(expected time.Duration) {
 	h.running += expected.Seconds()
 	h.runs++
 }
@@ -46,12 +52,21 @@
 	if h == nil || h.runs == 0 {
 		return
 	}
+	h.end(now, u.HalfLife, expected, held)
+	u.all.end(now, u.HalfLife, expected, held)
+}
+
+func (h *holder) end(now time.Time, halfLife, expected, held time.Duration) {
 	if h.runs--; h.runs == 0 {
 		h.running = 0
 	} else {
 		h.running -= expected.Seconds()
 	}
-	h.ended.add(now, u.HalfLife, held.Seconds())
+	h.ended.add(now, halfLife, held.Seconds())
+}
+
+func (h *holder) recent(now time.Time, halfLife time.Duration) time.Duration {
+	return time.Duration((h.ended.valueAt(now, halfLife) + h.running) * float64(time.Second))
 }
 
 // Recent returns the recent use of k.
@@ -60,19 +75,16 @@
 	if h == nil {
 		return 0
 	}
-	return seconds(h.ended.valueAt(now, u.HalfLife) + h.running)
+	return h.recent(now, u.HalfLife)
 }
 
-// Total returns the recent use of all holders. Its cost grows with their number.
-func (u *Use[K]) Total(now time.Time) time.Duration {
-	sum := 0.0
-	for _, h := range u.table.records {
-		sum += h.ended.valueAt(now, u.HalfLife) + h.running
-	}
-	return seconds(sum)
-}
+// Total returns the recent use of all holders, including those no longer kept.
+func (u *Use[K]) Total(now time.Time) time.Duration { return u.all.recent(now, u.HalfLife) }
 
 // Holders returns the number of holders that are kept.
 func (u *Use[K]) Holders() int { return len(u.table.records) }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// IsLight reports whether k used at most the mean of the holders that are kept.
+func (u *Use[K]) IsLight(now time.Time, k K) bool {
+	return u.Recent(now, k)*time.Duration(u.Holders()) <= u.Total(now)
+}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -235,6 +235,7 @@
 		MaxWait: time.Duration(r.GetPatience()), Organisation: string(r.GetOrganisation()),
 		OrganisationPriority: int(r.GetOrganisationPriority()),
 		Nested:               r.GetWithoutOrganisation() && len(r.GetOrganisation()) == 0,
+		Again:                r.GetAcceptance() == wire.Acceptance_ACCEPTANCE_ANY,
 	}
 }
 
--- a/sidecar/gate/run_test.go
+++ b/sidecar/gate/run_test.go
@@ -69,10 +69,11 @@
 		{Route: "r", Priority: 2},
 		{Route: "r", Priority: 2, Organisation: []byte("a\xfb"), OrganisationPriority: 1},
 		{Route: "r", Priority: 2, WithoutOrganisation: true},
-		{Route: "r", Priority: 2, Organisation: []byte("a"), WithoutOrganisation: true},
+		{Route: "r", Priority: 2, Organisation: []byte("a"), WithoutOrganisation: true, Acceptance: wire.Acceptance_ACCEPTANCE_ANY},
 	} {
 		q := admissionRequest(time.Time{}, r)
-		fmt.Fprintf(&b, "organisation %q, priorities %d and %d, nested %t\n", q.Organisation, q.OrganisationPriority, q.Priority, q.Nested)
+		fmt.Fprintf(&b, "organisation %q, priorities %d and %d, nested %t, again %t\n", q.Organisation, q.OrganisationPriority,
+			q.Priority, q.Nested, q.Again)
 	}
 	golden.Check(t, "admission", b.String())
 }
