--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -317,17 +317,21 @@
 	if t == nil || len(t.Configuration.Organisations) == 0 {
 		return b.Allow(now, s.slack(), 0)
 	}
-	name := ""
-	if r.Organisation != nil {
-		name = r.Organisation.Name
-	}
-	if b.AllowShare(now, s.slack(), name) {
+	if b.AllowShare(now, s.slack(), organisationName(r)) {
 		return true
 	}
 	s.Scope.Counter("repeats_denied").Inc(1)
 	return false
 }
 
+// organisationName returns the name of the organisation of r, or an empty name.
+func organisationName(r *message.Request) string {
+	if r.Organisation == nil {
+		return ""
+	}
+	return r.Organisation.Name
+}
+
 // mayTest reports whether a request may test a doubtful instance: its route must
 // allow tests, and the budget must still allow testReserve repeats.
 func (s *Service) mayTest(now time.Time, r *message.Request) bool {
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -325,7 +325,7 @@
 	if !s.journal.AllowRequestLine(now, r.Attempt, success) {
 		return
 	}
-	s.Log.Info("A request ended.", "request", r.Attempt, "route", r.Route.Name, "service", r.Service,
+	s.Log.Info("A request ended.", "request", r.Attempt, "route", r.Route.Name, "service", r.Service, "organisation", organisationName(r),
 		"configVersion", r.ConfigVersion, "status", a.Status, "own", a.FromFleet, "reason", p.reason, "offers", p.offers,
 		"sent", p.sent, "rejected", p.rejected, "instance", p.instance, "failing", p.failing,
 		"evidenceAge", age(now, p.evidence), "stateAge", age(now, s.publication.State().ReadAt),
