Refuse at the entry what a service has no room for

Cause: see the decision package room.

Change: sidecar/room, off by default (setting serviceRoom). Gates send their load to the node that announced last in their data centre; it puts the sums into its announcements and sends them to one node of each other data centre, which passes them to its reader. The relay asks before the first offer and answers 503 with reason no room. Off, the service sends nothing, handles nothing and has no calls.

Result: TestSums (five nodes in two data centres) and TestOff pass; all tests of the sidecar pass.

--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -21,6 +21,7 @@
 	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/decision/belief"
 	"cassiarack.example/lib/decision/placement"
+	"cassiarack.example/lib/decision/room"
 	"cassiarack.example/lib/decision/spread"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
@@ -84,8 +85,11 @@
 	announcedFull     bool
 	leaving           bool
 	// closeAt is when the gate closes during a shutdown. It is zero before one.
-	closeAt       time.Time
-	lastNoticeAt  time.Time
+	closeAt      time.Time
+	lastNoticeAt time.Time
+	// refused counts the requests refused or displaced in later rounds of offers since
+	// the last call of ReportLoad.
+	refused       int
 	instanceID    string
 	instanceStart time.Time
 }
@@ -217,6 +221,9 @@
 	start, reason := s.queue.Offer(now, admissionRequest(now, r), j)
 	switch {
 	case reason != "":
+		if reason == admission.ReasonFull && r.GetAcceptance() == wire.Acceptance_ACCEPTANCE_ANY {
+			s.refused++
+		}
 		j.decision <- reason
 	case start:
 		s.start(now, j)
@@ -247,6 +254,7 @@
 		return
 	}
 	e.Value.decision <- admission.ReasonDisplaced
+	s.refused++
 	attempt := string(e.Value.request.GetAttempt())
 	if s.journal.AllowRequestLine(now, attempt, false) {
 		use, part := s.queue.RecentUse(now, e.Request)
@@ -381,6 +389,22 @@
 		spread.Forwarders(s.Random, state.RemotePeers))
 }
 
+// ReportLoad passes the load of the gate to f, in the goroutine of Run. A closed gate
+// has no slots.
+func (s *Service) ReportLoad(f func(now time.Time, l room.Load)) {
+	err := s.commands.Offer(func(now time.Time) {
+		l := room.Load{Instances: 1, Slots: s.queue.Slots, Running: s.queue.Running(), Waiting: s.queue.Waiting(), Refused: float64(s.refused)}
+		if s.leaving {
+			l.Slots = 0
+		}
+		s.refused = 0
+		f(now, l)
+	})
+	if err != nil {
+		s.Log.Debug("The load was not reported.", "err", err)
+	}
+}
+
 // condition returns the load and the failure estimate of the instance, under the
 // next sequence number.
 func (s *Service) condition(now time.Time) *wire.Condition {
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -94,6 +94,8 @@
 	notices *notice.Service
 
 	watchers []func()
+	// rooms provides the sums of load that announcements carry. It may be nil.
+	rooms    func(now time.Time) []*wire.RoomSummary
 	state    atomic.Pointer[State]
 	commands *ring.Ring[func(now time.Time)]
 
@@ -137,6 +139,10 @@
 // methods of other services.
 func (s *Service) Watch(f func()) { s.watchers = append(s.watchers, f) }
 
+// AttachRooms makes f provide the sums of load that announcements carry. It may be
+// called only from the Bind methods of other services.
+func (s *Service) AttachRooms(f func(now time.Time) []*wire.RoomSummary) { s.rooms = f }
+
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
 	d := ring.Duty[func(time.Time)]{
@@ -339,11 +345,15 @@
 // announce sends the age, digest and version of the known state to the sidecars
 // of the data centre.
 func (s *Service) announce(now time.Time) {
-	s.notices.Send(&wire.Notice{Announcement: &wire.Announcement{
+	a := &wire.Announcement{
 		Age:           int64(now.Sub(s.roster.ReadAt())),
 		RosterDigest:  s.roster.Digest(),
 		ConfigVersion: s.config.version(),
-	}}, s.dataCentrePeers)
+	}
+	if s.rooms != nil {
+		a.Rooms = s.rooms(now)
+	}
+	s.notices.Send(&wire.Notice{Announcement: a}, s.dataCentrePeers)
 }
 
 // forward passes a notice of another data centre on to the sidecars of this one, if
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -16,6 +16,7 @@
 	"cassiarack.example/lib/decision/belief"
 	"cassiarack.example/lib/decision/placement"
 	"cassiarack.example/lib/decision/retry"
+	"cassiarack.example/lib/decision/room"
 	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
@@ -63,6 +64,15 @@
 	Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest) (*wire.RunReply, error)
 }
 
+// Rooms knows whether services have room.
+type Rooms interface {
+	// Admit reports whether a request for a service is admitted. If not, it returns
+	// the time after which the caller may try again.
+	Admit(ctx context.Context, service string, r room.Request) (admitted bool, retryAfter time.Duration)
+	// Observe records that an answered offer took the time stay.
+	Observe(service string, stay time.Duration)
+}
+
 // network implements Gates. It calls the gate on this VM directly and the gates on
 // other VMs over connections between sidecars.
 type network struct {
@@ -100,6 +110,7 @@
 
 	publication Publication
 	gates       Gates
+	rooms       Rooms
 	journal     *journal.Service
 
 	commands         *ring.Ring[func(now time.Time)]
@@ -141,6 +152,9 @@
 		return err
 	}
 	s.gates = gates
+	if s.rooms, err = kernel.Find[Rooms](dir, names.Room); err != nil {
+		return err
+	}
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
@@ -313,8 +327,7 @@
 // budget; requests that belong to none count as one further organisation.
 func (s *Service) takeRepeat(now time.Time, r *message.Request) bool {
 	b := s.budget(r.Service)
-	t := s.publication.State().Table
-	if t == nil || len(t.Configuration.Organisations) == 0 {
+	if !s.hasOrganisations() {
 		return b.Allow(now, s.slack(), 0)
 	}
 	if b.AllowShare(now, s.slack(), organisationName(r)) {
@@ -324,6 +337,24 @@
 	return false
 }
 
+// hasOrganisations reports whether the configuration has organisations.
+func (s *Service) hasOrganisations() bool {
+	t := s.publication.State().Table
+	return t != nil && len(t.Configuration.Organisations) > 0
+}
+
+// hasRoom reports whether the service of r has room for it. If not, it returns the time
+// after which the caller may try again.
+func (s *Service) hasRoom(ctx context.Context, r *message.Request) (admitted bool, retryAfter time.Duration) {
+	q := room.Request{Organisation: organisationName(r), Priority: r.Route.Priority}
+	if r.Organisation != nil {
+		q.OrganisationPriority = r.Organisation.Priority
+	} else {
+		q.Nested = s.hasOrganisations()
+	}
+	return s.rooms.Admit(ctx, r.Service, q)
+}
+
 // organisationName returns the name of the organisation of r, or an empty name.
 func organisationName(r *message.Request) string {
 	if r.Organisation == nil {
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"cassiarack.example/sidecar/journal"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/publication"
+	"cassiarack.example/sidecar/room"
 )
 
 // fakeFleet implements Gates and Publication for a service with three instances.
@@ -42,6 +43,9 @@
 	return f.reply(r.GetInstance())
 }
 
+// roomy admits all requests.
+var roomy room.Service
+
 func start(t *testing.T, reply func(instance string) (*wire.RunReply, error)) (*Service, *fakeFleet) {
 	t.Helper()
 	f := &fakeFleet{reply: reply, state: &publication.State{Instances: map[string]roster.Instance{},
@@ -53,7 +57,7 @@
 		f.state.Services["s"] = append(f.state.Services["s"], i)
 	}
 	s := &Service{RepeatRatio: 0.2, RepeatSlack: 64, RepeatWindow: 10 * time.Second, Scope: tally.NoopScope,
-		Random: rand.New(rand.NewPCG(1, 1)), Log: log.New(io.Discard), publication: f, gates: f,
+		Random: rand.New(rand.NewPCG(1, 1)), Log: log.New(io.Discard), publication: f, gates: f, rooms: &roomy,
 		journal: journal.New(io.Discard, log.InfoLevel), commands: ring.New[func(time.Time)](commandCapacity),
 		instances: map[string]*instanceState{}, budgets: map[string]*retry.WindowBudget{},
 		requestDurations: tally.NoopScope.Histogram("x", tally.DefaultBuckets)}
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -74,6 +74,9 @@
 	lastAnswer *message.Answer
 	// reason says why the last offer did not succeed.
 	reason string
+	// retryAfter is the time after which a refused client may try again. If it is
+	// zero, a random one is chosen.
+	retryAfter time.Duration
 	// instance is the ID of the instance of the last offer.
 	instance string
 	failing  float64
@@ -86,6 +89,12 @@
 func (s *Service) Serve(ctx context.Context, r *message.Request) *message.Answer {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(answerMargin))
 	defer cancel()
+	if ok, after := s.hasRoom(ctx, r); !ok {
+		p := &progress{reason: "no room", retryAfter: after}
+		answer := s.refuse(r, p)
+		s.record(r, p, answer)
+		return answer
+	}
 	if err := s.runAndWait(ctx, func(now time.Time) { s.budget(r.Service).RecordRequest(now) }); err != nil {
 		return s.refuse(r, &progress{reason: err.Error()})
 	}
@@ -138,8 +147,12 @@
 	}
 	p.offers++
 	p.instance, p.failing, p.evidence = pl.ID, pl.failing, pl.evidence
+	offered := time.Now()
 	reply, err := s.offerWithSpan(ctx, r, pl, p)
 	now := time.Now()
+	if reply.GetOutcome() == wire.RunOutcome_RUN_OUTCOME_ANSWERED {
+		s.rooms.Observe(r.Service, now.Sub(offered))
+	}
 	// If the client closed the connection or nothing could be sent, a missing reply
 	// is no sign that the sidecar is unreachable.
 	reached := err == nil || errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, peers.ErrEncode)
@@ -300,7 +313,10 @@
 
 // refuse returns the answer to a request that did not run and will not be run.
 func (s *Service) refuse(r *message.Request, p *progress) *message.Answer {
-	after := minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
+	after := p.retryAfter
+	if after == 0 {
+		after = minRetryAfter + time.Duration(rand.Int64N(int64(maxRetryAfter-minRetryAfter)))
+	}
 	return fleetAnswer(http.StatusServiceUnavailable, r, after, "not run: "+p.reason)
 }
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -30,6 +30,7 @@
 	"cassiarack.example/sidecar/notice"
 	"cassiarack.example/sidecar/publication"
 	"cassiarack.example/sidecar/relay"
+	"cassiarack.example/sidecar/room"
 	"cassiarack.example/sidecar/settings"
 )
 
@@ -179,7 +180,10 @@
 		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
 			Instance: s.Instance, Answers: bodyPool(s), MinStopTime: ingress.MinDrainTime, Random: random(),
 			Scope: scope, Log: j.Logger("gate")}},
-		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Journal},
+		{Name: names.Room, Needs: []string{names.Notices, names.Publication, names.Gate}, Service: &room.Service{
+			Enabled: s.ServiceRoom, Self: s.Fleet.Addr(), DataCentre: s.DataCentre, ServiceName: s.Service, Random: random(),
+			Scope: scope, Log: j.Logger("room")}},
+		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Room, names.Journal},
 			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -53,6 +53,9 @@
 	LimitWindow time.Duration
 	LimitOver   float64
 	LimitSlack  float64
+	// ServiceRoom is set if requests are refused at the entry for which their service
+	// has no room.
+	ServiceRoom bool
 	// TraceEndpoint is the URL to which spans are sent as OTLP over HTTP. If it
 	// is empty, no spans are sent.
 	TraceEndpoint string
@@ -98,6 +101,7 @@
 		LimitOver:     o.Float("limitOver", 0, 0, maxOver),
 		LimitSlack:    o.Float("limitSlack", 0, 0, maxSlack),
 
+		ServiceRoom:   o.Bool("serviceRoom"),
 		TraceEndpoint: o.String("traceEndpoint"),
 
 		MemoryMegabytes: o.Int("memoryMegabytes", 0, 0, maxMegabytes),
@@ -130,6 +134,7 @@
 		{"limitWindow", a.LimitWindow != b.LimitWindow},
 		{"limitOver", a.LimitOver != b.LimitOver},
 		{"limitSlack", a.LimitSlack != b.LimitSlack},
+		{"serviceRoom", a.ServiceRoom != b.ServiceRoom},
 		{"stopTimeout", a.StopTimeout != b.StopTimeout},
 		{"traceEndpoint", a.TraceEndpoint != b.TraceEndpoint},
 	} {
