Divide the admitted share between organisations

An entry sees too few requests of each kind to measure what is neglected.

Change: equally urgent organisations divide what is left of the share by max-min fairness of their recent requests at the entry, and each keeps a part of the share. The mean run time is learned while there is little queue, as the mean stay lags behind it. The load of TestRule goes on for a second after the hot period, so that a queue left at its end is not served by idle slots.

TestShare, TestFilter, TestLevel pass, also with -race.

--- a/lib/decision/admission/load_test.go
+++ b/lib/decision/admission/load_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"strconv"
 	"time"
+
+	"cassiarack.example/lib/decision/room"
 )
 
 const (
@@ -16,7 +18,7 @@
 	hotFactor = 4.6
 	hotBegin  = 2 * time.Second
 	hotEnd    = hotBegin + 6*time.Second
-	loadEnd   = hotEnd
+	loadEnd   = hotEnd + time.Second
 	// hop is the time of a message between an entry and a gate.
 	hop = ms
 	// knownFor, shortOffers and the waits below are those of the relay.
@@ -74,19 +76,36 @@
 	priorities bool
 	// passedOn is set if the gates learn the organisations.
 	passedOn bool
-	rng      *rand.Rand
+	// room makes entries refuse what the service has no room for.
+	room bool
+	rng  *rand.Rand
 
 	events  events
 	seq     int
 	gates   []Queue[*call]
 	entries []loadEntry
 	calls   []*call
+	sums    room.Sums[int]
+	reports [loadGates]gateReport
+	// used is the time for which slots were in use while one organisation was hot.
+	used time.Duration
+}
+
+// gateReport is what a gate keeps for its next report of load.
+type gateReport struct {
+	reporter room.Reporter
+	refused  int
+	since    time.Time
 }
 
 // loadEntry is what an entry knows of the gates.
 type loadEntry struct {
 	outstanding, known [loadGates]int
 	knownUntil         [loadGates]time.Duration
+
+	share  room.Share
+	filter *room.Filter
+	stay   time.Duration
 }
 
 // call is a request of a caller.
@@ -97,6 +116,7 @@
 	runTime      time.Duration
 	entry        *loadEntry
 	offers       int
+	offeredAt    time.Time
 	tried        [loadGates]bool
 	ended        time.Time
 	served       bool
@@ -153,6 +173,9 @@
 		l.arrive(start, o, w*rate*(1-nestedPart))
 	}
 	l.arrive(start, -1, nestedPart*rate)
+	if l.room {
+		l.tick(start)
+	}
 	for len(l.events) > 0 {
 		e := heap.Pop(&l.events).(event)
 		e.do(start.Add(e.at))
@@ -196,6 +219,10 @@
 		c := &call{organisation: organisation, kind: kind, arrived: now, entry: &l.entries[l.rng.IntN(loadEntries)],
 			runTime: time.Duration((0.5 + 0.5*l.rng.ExpFloat64()) * float64(kinds[kind].runTime))}
 		l.calls = append(l.calls, c)
+		if l.room && !l.hasRoom(now, c) {
+			c.ended = now
+			return
+		}
 		l.offer(now, c)
 	})
 }
@@ -226,6 +253,7 @@
 	}
 	c.tried[best] = true
 	c.offers++
+	c.offeredAt = now
 	c.entry.outstanding[best]++
 	l.at(now.Add(hop), func(now time.Time) { l.decide(now, best, c) })
 }
@@ -260,6 +288,9 @@
 	startNow, reason := q.Offer(now, l.request(now, c), c)
 	switch {
 	case reason != "":
+		if c.offers > shortOffers {
+			l.reports[gate].refused++
+		}
 		l.reply(now, gate, c, false, reason)
 		return
 	case startNow:
@@ -268,16 +299,20 @@
 	}
 	if e, ok := q.Displaced(now); ok {
 		e.Value.displaced++
+		l.reports[gate].refused++
 		l.reply(now, gate, e.Value, false, ReasonDisplaced)
 	}
 }
 
 // execute runs a call that got a slot, then starts those that wait.
 func (l *load) execute(now time.Time, gate int, c *call) {
+	begin, end := now.Sub(start), now.Sub(start)+c.runTime
+	l.used += max(0, min(end, hotEnd)-max(begin, hotBegin))
 	l.at(now.Add(c.runTime), func(now time.Time) {
 		q := &l.gates[gate]
 		q.Finish(now, c, c.runTime)
 		l.reply(now, gate, c, true, "")
+		c.entry.observe(now.Sub(c.offeredAt))
 		for {
 			next, started, expired := q.Next(now)
 			for _, e := range expired {
@@ -304,3 +339,48 @@
 		l.offer(now, c)
 	})
 }
+
+// tick makes the gates report their load, and every 450 ms the entries get the sum.
+func (l *load) tick(now time.Time) {
+	for i := range l.gates {
+		g := &l.reports[i]
+		load := room.Load{Instances: 1, Slots: loadSlots, Running: l.gates[i].Running(), Waiting: l.gates[i].Waiting()}
+		if g.reporter.Due(now, load) {
+			load.Refused = float64(g.refused) / max(now.Sub(g.since), 100*ms).Seconds()
+			g.refused, g.since = 0, now
+			l.sums.Record(now, i, "s", load)
+		} else if now.Sub(g.since) > room.Validity {
+			g.refused, g.since = 0, now
+		}
+	}
+	if now.Sub(start)%(450*ms) < 50*ms {
+		sum := l.sums.Totals(now)["s"]
+		for i := range l.entries {
+			if e := &l.entries[i]; e.stay > 0 && sum.Instances > 0 {
+				e.share.Update(now, sum, loadGates*loadSlots, e.stay)
+			}
+		}
+	}
+	if now.Before(start.Add(loadEnd)) {
+		l.at(now.Add(50*ms), l.tick)
+	}
+}
+
+// hasRoom reports whether the entry of a call admits it.
+func (l *load) hasRoom(now time.Time, c *call) bool {
+	if c.entry.filter == nil {
+		c.entry.filter = room.NewFilter()
+	}
+	r := l.request(now, c)
+	ok, _ := c.entry.filter.Admit(now, l.rng, c.entry.share.Admitted(now), room.Request{Organisation: r.Organisation,
+		OrganisationPriority: r.OrganisationPriority, Priority: r.Priority, Nested: r.Nested})
+	return ok
+}
+
+// observe records the time from an offer to its answer.
+func (e *loadEntry) observe(stay time.Duration) {
+	if e.stay == 0 {
+		e.stay = stay
+	}
+	e.stay += (stay - e.stay) / 10
+}
--- a/lib/decision/admission/rule_test.go
+++ b/lib/decision/admission/rule_test.go
@@ -8,7 +8,9 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"cassiarack.example/lib/decision/fairness"
 	"cassiarack.example/lib/golden"
 )
 
@@ -51,6 +53,15 @@
 	organisations     [loadOrganisations]tally
 	kinds, priorities [3]tally
 	offers, displaced int
+	// used is the part of the slots that was in use.
+	used float64
+	// refusing is the sum of the times until calls were refused.
+	refusing time.Duration
+}
+
+// refusedAfter returns the mean time until a call was refused.
+func (o *outcome) refusedAfter() time.Duration {
+	return o.refusing / time.Duration(max(o.all.calls-o.all.served, 1))
 }
 
 func play(l *load) *outcome {
@@ -65,6 +76,9 @@
 		o.kinds[c.kind].add(c)
 		o.offers += c.offers
 		o.displaced += c.displaced
+		if !c.served {
+			o.refusing += c.ended.Sub(c.arrived)
+		}
 		if c.organisation < 0 {
 			o.nested.add(c)
 			continue
@@ -72,6 +86,7 @@
 		o.organisations[c.organisation].add(c)
 		o.priorities[usualPriority(c.organisation)].add(c)
 	}
+	o.used = l.used.Seconds() / (loadGates * loadSlots * (hotEnd - hotBegin).Seconds())
 	return &o
 }
 
@@ -111,15 +126,7 @@
 		work = append(work, a.work)
 		left += a.servedWork
 	}
-	slices.Sort(work)
-	level := math.Inf(1)
-	for i, w := range work {
-		if share := left / float64(len(work)-i); w > share {
-			level = share
-			break
-		}
-		left -= w
-	}
+	level := fairness.Level(left, work)
 	least = math.Inf(1)
 	var served, due float64
 	for i, a := range all {
@@ -138,12 +145,14 @@
 // TestRule plays the load of 70 organisations on 53 gates. It guards against an
 // organisation or a kind of requests that is served at less than a quarter of the rate
 // of all, and against a hot organisation that takes from the others more than its
-// equal share.
+// equal share. It also guards against refusals at entries that break this or that leave
+// slots unused.
 func TestRule(t *testing.T) {
 	var loads []*load
 	for _, demand := range []float64{0.8, 1.1, 1.6} {
 		loads = append(loads, &load{demand: demand, priorities: true}, &load{demand: demand, priorities: true, passedOn: true},
-			&load{demand: demand}, &load{demand: demand, passedOn: true})
+			&load{demand: demand, priorities: true, passedOn: true, room: true},
+			&load{demand: demand}, &load{demand: demand, passedOn: true}, &load{demand: demand, passedOn: true, room: true})
 	}
 	outcomes := make([]*outcome, len(loads))
 	var wg sync.WaitGroup
@@ -156,15 +165,15 @@
 		o := outcomes[i]
 		tenth, one := o.worst()
 		least, together := o.ofEqualShare()
-		name := fmt.Sprintf("demand %.1f of the room, priorities %t, organisations passed on %t", l.demand, l.priorities, l.passedOn)
+		name := fmt.Sprintf("demand %.1f of the room, priorities %t, organisations passed on %t, refused at entries %t", l.demand, l.priorities, l.passedOn, l.room)
 		fmt.Fprintf(&b, "%s: %d calls\n", name, o.all.calls)
-		fmt.Fprintf(&b, "  served: all %.3f (in target %.3f), worst tenth %.3f, worst %.3f, hot %.3f\n", o.all.part(),
-			float64(o.all.inTarget)/float64(o.all.calls), tenth, one, o.organisations[hotOrganisation].part())
+		fmt.Fprintf(&b, "  served: all %.3f (in target %.3f), worst tenth %.3f, worst %.3f, hot %.3f; slots used %.3f\n", o.all.part(),
+			float64(o.all.inTarget)/float64(o.all.calls), tenth, one, o.organisations[hotOrganisation].part(), o.used)
 		fmt.Fprintf(&b, "  by priority of the organisation: 0 %.3f, 1 %.3f, 2 %.3f; of the route: 0 %.3f, 1 %.3f, 2 %.3f; nested %.3f\n",
 			o.priorities[0].part(), o.priorities[1].part(), o.priorities[2].part(), o.kinds[0].part(), o.kinds[1].part(),
 			o.kinds[2].part(), o.nested.part())
-		fmt.Fprintf(&b, "  of the equal share: others together %.3f, least %.3f; offers per call %.1f, displaced %d\n", together, least,
-			float64(o.offers)/float64(o.all.calls), o.displaced)
+		fmt.Fprintf(&b, "  of the equal share: others together %.3f, least %.3f; offers per call %.1f, displaced %d; refused after %v\n", together, least,
+			float64(o.offers)/float64(o.all.calls), o.displaced, o.refusedAfter().Round(ms))
 		if !l.passedOn {
 			continue
 		}
@@ -177,5 +186,11 @@
 				name, together, least)
 		}
 	}
+	for i, l := range loads {
+		if l.room && (outcomes[i].used < 0.98 || outcomes[i].offers >= outcomes[i-1].offers) {
+			t.Errorf("demand %.1f with refusals at entries: %.3f of the slots are used with %d offers, want at least 0.98 and less than %d",
+				l.demand, outcomes[i].used, outcomes[i].offers, outcomes[i-1].offers)
+		}
+	}
 	golden.Check(t, "rule", b.String())
 }
--- a/lib/decision/fairness/fairness_test.go
+++ b/lib/decision/fairness/fairness_test.go
@@ -84,3 +84,12 @@
 	fmt.Fprintf(&b, "long after: never %t\n", g.Below(later, "never", 0.5*g.Part(later)))
 	golden.Check(t, "grants", b.String())
 }
+
+// TestLevel guards against a level that gives more than the capacity or leaves some.
+func TestLevel(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []float64{-1, 0, 3, 6, 10, 11} {
+		fmt.Fprintf(&b, "capacity %v, demands 1, 2, 3, 5: level %.2f\n", c, Level(c, []float64{5, 1, 3, 2}))
+	}
+	golden.Check(t, "level", b.String())
+}
--- a/lib/decision/fairness/grants.go
+++ b/lib/decision/fairness/grants.go
@@ -54,15 +54,11 @@
 	return r != nil && r.requests.valueAt(now, g.HalfLife) >= minRequests && r.part(now, g.HalfLife) < part
 }
 
-// Requests returns the number of recent requests of the holders that match.
-func (g *Grants[K]) Requests(now time.Time, match func(K) bool) float64 {
-	sum := 0.0
+// Each calls f with each holder that is kept and the number of its recent requests.
+func (g *Grants[K]) Each(now time.Time, f func(k K, requests float64)) {
 	for k, r := range g.table.records {
-		if match(k) {
-			sum += r.requests.valueAt(now, g.HalfLife)
-		}
+		f(k, r.requests.valueAt(now, g.HalfLife))
 	}
-	return sum
 }
 
 // AllRequests returns the number of recent requests of all holders, and how many of them
@@ -70,10 +66,3 @@
 func (g *Grants[K]) AllRequests(now time.Time) (requests, granted float64) {
 	return g.all.requests.valueAt(now, g.HalfLife), g.all.granted.valueAt(now, g.HalfLife)
 }
-
-// IsLight reports whether k sent at most the mean number of requests of the holders
-// that are kept.
-func (g *Grants[K]) IsLight(now time.Time, k K) bool {
-	r := g.table.find(k)
-	return r == nil || r.requests.valueAt(now, g.HalfLife)*float64(len(g.table.records)) <= g.all.requests.valueAt(now, g.HalfLife)
-}
--- a/lib/decision/room/filter.go
+++ b/lib/decision/room/filter.go
@@ -11,12 +11,13 @@
 	// filterHalfLife is the half-life of the recent requests by which an entry knows
 	// the mix of its demand.
 	filterHalfLife = 3 * time.Second
-	// maxKinds and maxOrganisations bound what is remembered.
-	maxKinds         = 256
-	maxOrganisations = 1024
-	// neglectedPart is the part of the admitted share that each kind gets at least. The
-	// rule asks for a quarter of the rate of all.
-	neglectedPart = 0.35
+	// maxHolders bounds what is remembered of organisations.
+	maxHolders = 1024
+	// neglectedPart is the part of the admitted share that each holder gets at least, and
+	// neglectedLightPart that of a holder with at most the mean number of requests. The
+	// rule asks for a quarter of the rate of all; gates refuse some of what is admitted.
+	neglectedPart      = 0.35
+	neglectedLightPart = 0.8
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may
 	// try again.
 	minRetryAfter = 150 * time.Millisecond
@@ -35,68 +36,84 @@
 	Nested bool
 }
 
-// kind is a kind of requests in the order in which they are admitted.
-type kind struct {
+// urgency is the place of a request in the order in which they are admitted.
+type urgency struct {
 	nested                         bool
 	organisationPriority, priority int
-	// heavy is set for organisations that send more than the mean.
-	heavy bool
 }
 
 // before reports whether a is more urgent than b.
-func (a kind) before(b kind) bool {
+func (a urgency) before(b urgency) bool {
 	switch {
 	case a.nested != b.nested:
 		return a.nested
 	case a.organisationPriority != b.organisationPriority:
 		return a.organisationPriority < b.organisationPriority
-	case a.priority != b.priority:
-		return a.priority < b.priority
 	}
-	return !a.heavy && b.heavy
+	return a.priority < b.priority
 }
 
-// Filter admits a share of the requests for a service at one entry, the most urgent
-// first. It is not safe for concurrent use.
+// holder is an organisation and the urgency of some of its requests.
+type holder struct {
+	urgency
+	organisation string
+}
+
+// Filter admits a share of the requests for a service at one entry: the most urgent
+// first, and among equally urgent ones each organisation up to an equal share. It is not
+// safe for concurrent use.
 type Filter struct {
-	kinds         fairness.Grants[kind]
-	organisations fairness.Grants[string]
+	holders fairness.Grants[holder]
 	// roomAt is when the last refused caller may expect room.
 	roomAt time.Time
 }
 
 // NewFilter returns a filter without recent requests.
 func NewFilter() *Filter {
-	return &Filter{kinds: fairness.Grants[kind]{HalfLife: filterHalfLife, Limit: maxKinds},
-		organisations: fairness.Grants[string]{HalfLife: filterHalfLife, Limit: maxOrganisations}}
+	return &Filter{holders: fairness.Grants[holder]{HalfLife: filterHalfLife, Limit: maxHolders}}
 }
 
 // Admit reports whether a request is admitted at the given share. If not, it returns
 // the time after which the caller may try again.
 func (f *Filter) Admit(now time.Time, rng *rand.Rand, share float64, r Request) (admitted bool, retryAfter time.Duration) {
-	f.organisations.Request(now, r.Organisation)
-	k := kind{r.Nested, r.OrganisationPriority, r.Priority, !f.organisations.IsLight(now, r.Organisation)}
-	f.kinds.Request(now, k)
-	if r.Nested || share >= 1 || f.kinds.Below(now, k, neglectedPart*share) || rng.Float64() < f.part(now, share, k) {
-		f.kinds.Grant(now, k, 1)
+	h := holder{urgency{r.Nested, r.OrganisationPriority, r.Priority}, r.Organisation}
+	f.holders.Request(now, h)
+	if r.Nested || share >= 1 || rng.Float64() < f.part(now, share, h) {
+		f.holders.Grant(now, h, 1)
 		return true, 0
 	}
 	return false, f.retryAfter(now, rng)
 }
 
-// part returns the part of the requests of a kind that is admitted: what the more
-// urgent ones leave of the share.
-func (f *Filter) part(now time.Time, share float64, k kind) float64 {
-	all, _ := f.kinds.AllRequests(now)
-	ahead := f.kinds.Requests(now, func(o kind) bool { return o.before(k) })
-	own := f.kinds.Requests(now, func(o kind) bool { return o == k })
-	return (share*all - ahead) / own
+// part returns the part of the requests of a holder that is admitted. Equally urgent
+// holders divide what the more urgent ones leave of the share by max-min fairness.
+func (f *Filter) part(now time.Time, share float64, h holder) float64 {
+	all, _ := f.holders.AllRequests(now)
+	left, own, holders := share*all, 0.0, 0.0
+	var equal []float64
+	f.holders.Each(now, func(o holder, requests float64) {
+		holders++
+		switch {
+		case o.urgency == h.urgency:
+			equal = append(equal, requests)
+			if o == h {
+				own = requests
+			}
+		case o.before(h.urgency):
+			left -= requests
+		}
+	})
+	least := neglectedPart
+	if (own-1)*holders <= all {
+		least = neglectedLightPart
+	}
+	return max(least*share, fairness.Level(left, equal)/own)
 }
 
 // retryAfter returns the time until a refused caller may expect room. Callers that are
 // refused later get later times, spaced like the requests that are admitted.
 func (f *Filter) retryAfter(now time.Time, rng *rand.Rand) time.Duration {
-	_, granted := f.kinds.AllRequests(now)
+	_, granted := f.holders.AllRequests(now)
 	// A steady rate keeps the half-life divided by ln 2 of it.
 	rate := max(minRate, granted/filterHalfLife.Seconds()*0.69)
 	if f.roomAt.Before(now) {
--- a/lib/decision/room/share.go
+++ b/lib/decision/room/share.go
@@ -30,7 +30,8 @@
 // while it was measured, this estimates the whole demand. The share depends on that
 // estimate alone, so the delay of the sums causes no oscillation.
 type Share struct {
-	last Sum
+	last    Sum
+	runTime time.Duration
 	// demand is the estimated demand as a multiple of the capacity.
 	demand float64
 	// changes holds the shares of the last seconds, oldest first.
@@ -56,8 +57,8 @@
 		s.demand, s.changes = 0, nil
 		return
 	}
-	// By Little's law, requests stay as long at all of the service as they run and wait.
-	runTime := stay.Seconds() * float64(sum.Running) / float64(sum.Running+sum.Waiting)
+	s.learnRunTime(sum.Load, stay)
+	runTime := s.runTime.Seconds()
 	growth := float64(sum.Waiting-previous.Waiting) / sum.At.Sub(previous.At).Seconds()
 	excess := max(0, float64(sum.Waiting)-queuePerSlot*float64(sum.Slots)) / drainTime.Seconds()
 	admitted := (float64(sum.Running) + runTime*(refusedRequests(sum.Load)+growth+excess)) / float64(slots)
@@ -73,6 +74,21 @@
 	}
 }
 
+// learnRunTime updates the mean run time. By Little's law, it is to the mean stay as the
+// running requests are to all. The stay lags behind a queue that changes, so while there
+// is one, the run time is changed little.
+func (s *Share) learnRunTime(l Load, stay time.Duration) {
+	runTime := time.Duration(float64(stay) * float64(l.Running) / float64(l.Running+l.Waiting))
+	weight := 0.3
+	if float64(l.Waiting) > queuePerSlot*float64(l.Slots) {
+		weight = 0.03
+	}
+	if s.runTime == 0 {
+		weight = 1
+	}
+	s.runTime += time.Duration(weight * float64(runTime-s.runTime))
+}
+
 // refusedRequests returns the number of requests that were refused in a second. An
 // entry offers a request to all gates before it gives up, and only offers after the
 // first round count.
--- a/lib/decision/room/sums.go
+++ b/lib/decision/room/sums.go
@@ -50,7 +50,7 @@
 	if at.IsZero() || o.At.Before(at) {
 		at = o.At
 	}
-	return Sum{Load: s.Load.Plus(o.Load), At: at}
+	return Sum{Load: s.Plus(o.Load), At: at}
 }
 
 // Combine returns the sum over data centres, without those older than Validity.
