Take back the grant of a withdrawn request

Cause: a request whose caller left while it waited counted as served, so that its organisation seemed less neglected than it was.

Change: Withdraw takes the time and the grant back. The gate passes the number of refusals beside its load, which holds a rate.

--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -295,9 +295,10 @@
 }
 
 // Withdraw removes a waiting request and reports whether it was waiting.
-func (q *Queue[T]) Withdraw(v T) bool {
+func (q *Queue[T]) Withdraw(now time.Time, v T) bool {
 	for i := range q.waiting {
 		if q.waiting[i].Value == v {
+			q.shares.remove(now, q.waiting[i].Request)
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			return true
 		}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -389,16 +389,17 @@
 		spread.Forwarders(s.Random, state.RemotePeers))
 }
 
-// ReportLoad passes the load of the gate to f, in the goroutine of Run. A closed gate
-// has no slots.
-func (s *Service) ReportLoad(f func(now time.Time, l room.Load)) {
-	err := s.commands.Offer(func(now time.Time) {
-		l := room.Load{Instances: 1, Slots: s.queue.Slots, Running: s.queue.Running(), Waiting: s.queue.Waiting(), Refused: float64(s.refused)}
+// ReportLoad passes the load of the gate and the number of refusals since the last
+// call to f, in the goroutine of Run. A closed gate has no slots.
+func (s *Service) ReportLoad(f func(l room.Load, refused int)) {
+	err := s.commands.Offer(func(time.Time) {
+		l := room.Load{Instances: 1, Slots: s.queue.Slots, Running: s.queue.Running(), Waiting: s.queue.Waiting()}
 		if s.leaving {
 			l.Slots = 0
 		}
+		refused := s.refused
 		s.refused = 0
-		f(now, l)
+		f(l, refused)
 	})
 	if err != nil {
 		s.Log.Debug("The load was not reported.", "err", err)
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -86,8 +86,8 @@
 	case <-ctx.Done():
 	}
 	withdrawn := make(chan struct{})
-	err := s.commands.Put(context.Background(), func(time.Time) {
-		s.queue.Withdraw(j)
+	err := s.commands.Put(context.Background(), func(now time.Time) {
+		s.queue.Withdraw(now, j)
 		close(withdrawn)
 	})
 	if err != nil {
--- a/sidecar/room/room.go
+++ b/sidecar/room/room.go
@@ -52,8 +52,8 @@
 
 // Gate is the gate on this VM.
 type Gate interface {
-	// ReportLoad passes the load to f. Its refusals are those since the last call.
-	ReportLoad(f func(now time.Time, l room.Load))
+	// ReportLoad passes the load and the number of refusals since the last call to f.
+	ReportLoad(f func(l room.Load, refused int))
 }
 
 // Service keeps the sums and admits requests by them.
@@ -78,7 +78,7 @@
 	// Only the goroutine of Run uses the fields below.
 	reporter room.Reporter
 	// refused is the number of refusals since refusedSince.
-	refused      float64
+	refused      int
 	refusedSince time.Time
 	reader       netip.Addr
 	readerAt     time.Time
@@ -130,7 +130,7 @@
 		Interval: loadInterval,
 		Handle:   func(now time.Time, f func(time.Time)) { f(now) },
 		Tick: func(time.Time) {
-			s.gate.ReportLoad(func(_ time.Time, l room.Load) { s.enqueue(func(now time.Time) { s.report(now, l) }) })
+			s.gate.ReportLoad(func(l room.Load, refused int) { s.enqueue(func(now time.Time) { s.report(now, l, refused) }) })
 		},
 	}
 	return d.Run(ctx)
--- a/sidecar/room/room_test.go
+++ b/sidecar/room/room_test.go
@@ -39,7 +39,7 @@
 
 func (n *node) State() *publication.State                           { return n.state }
 func (n *node) AttachRooms(func(now time.Time) []*wire.RoomSummary) {}
-func (n *node) ReportLoad(func(now time.Time, l room.Load))         {}
+func (n *node) ReportLoad(func(l room.Load, refused int))           {}
 func (n *node) Handle(notice.Handler)                               {}
 func (n *node) Send(m *wire.Notice, to []netip.Addr)                { n.fleet.send(n, m, to) }
 func (n *node) drain(t *testing.T, now time.Time) {
@@ -120,9 +120,10 @@
 		at = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(n) * 100 * time.Millisecond)
 		// From 2 s on all gates are full, with a queue and refusals. At 6 s the first
 		// node of each data centre, which reads the store, stops.
+		refusals := 0
 		load := room.Load{Instances: 1, Slots: 3, Running: 1}
 		if n >= 20 {
-			load.Running, load.Waiting, load.Refused = 3, 6, 5
+			load.Running, load.Waiting, refusals = 3, 6, 5
 		}
 		if n == 60 {
 			f.nodes[0].down, f.nodes[3].down = true, true
@@ -132,7 +133,7 @@
 			if x.down {
 				continue
 			}
-			x.report(at, load)
+			x.report(at, load, refusals)
 			if (x == f.nodes[0] || x == f.nodes[3]) && n%4 == 0 {
 				f.announce(x, at)
 			}
--- a/sidecar/room/sums.go
+++ b/sidecar/room/sums.go
@@ -33,8 +33,8 @@
 
 // report takes the load of the gate over, and sends it to the reader of the store if
 // that is due. The reader adds up what it got.
-func (s *Service) report(now time.Time, l room.Load) {
-	s.refused += l.Refused
+func (s *Service) report(now time.Time, l room.Load, refused int) {
+	s.refused += refused
 	s.expire(now)
 	if s.isReader(now) {
 		s.setTotals(s.DataCentre, s.sums.Totals(now))
@@ -42,7 +42,7 @@
 	since := now.Sub(s.refusedSince)
 	switch {
 	case now.Sub(s.readerAt) <= readerValidity && s.reporter.Due(now, l):
-		l.Refused = s.refused / max(since, loadInterval).Seconds()
+		l.Refused = float64(s.refused) / max(since, loadInterval).Seconds()
 		s.send(now, l)
 	case since < room.Validity:
 		return
