--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -87,6 +87,9 @@
 	DirectStore bool
 	// Work is the mean run time of a request; zero means instanceWork.
 	Work time.Duration
+	// ServiceRoom makes the sidecars refuse requests for which their service has no
+	// room.
+	ServiceRoom bool
 	// TraceEndpoint is the URL to which the sidecars send spans; empty means none.
 	TraceEndpoint string
 
@@ -211,9 +214,9 @@
 		store = m.address(250, portCallers).String()
 	}
 	settings := fmt.Sprintf(`{"name":"vm%d","dataCentre":%q,"service":%q,"instance":%q,"callers":%q,"ready":%q,"fleet":%q,
-"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","memoryMegabytes":%d,"traceEndpoint":%q}`, v.Index, v.DataCentre,
+"metrics":%q,"store":%q,"stopTimeout":"%v","repeatRatio":0.2,"repeatSlack":64,"repeatWindow":"10s","memoryMegabytes":%d,"serviceRoom":%t,"traceEndpoint":%q}`, v.Index, v.DataCentre,
 		v.Instance.Service, m.address(v.Index, portProxy), m.address(v.Index, portCallers), m.address(v.Index, portReady),
-		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), store, cmp.Or(m.StopTimeout, graceTime), m.MemoryMegabytes, m.TraceEndpoint)
+		m.address(v.Index, portFleet), m.address(v.Index, portMetrics), store, cmp.Or(m.StopTimeout, graceTime), m.MemoryMegabytes, m.ServiceRoom, m.TraceEndpoint)
 	path := filepath.Join(m.Folder, fmt.Sprintf("vm%d.jsonc", v.Index))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
