--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -21,6 +21,7 @@
 	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/decision/belief"
 	"cassiarack.example/lib/decision/placement"
+	"cassiarack.example/lib/decision/room"
 	"cassiarack.example/lib/decision/spread"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
@@ -87,8 +88,11 @@
 	announcedFull     bool
 	leaving           bool
 	// closeAt is when the gate closes during a shutdown. It is zero before one.
-	closeAt       time.Time
-	lastNoticeAt  time.Time
+	closeAt      time.Time
+	lastNoticeAt time.Time
+	// refused counts the requests refused or displaced in later rounds of offers since
+	// the last call of ReportLoad.
+	refused       int
 	instanceID    string
 	instanceStart time.Time
 }
@@ -227,19 +231,52 @@
 		j.decision <- reason
 		return
 	}
-	start, reason := s.queue.Offer(now, admission.Request{
-		Route: r.GetRoute(), Priority: int(r.GetPriority()),
-		Target: now.Add(time.Duration(r.GetRemainingTarget())), Deadline: now.Add(time.Duration(r.GetRemaining())),
-		MaxWait: time.Duration(r.GetPatience()),
-	}, j)
-	if reason != "" {
+	start, reason := s.queue.Offer(now, admissionRequest(now, r), j)
+	switch {
+	case reason != "":
+		if reason == admission.ReasonFull && r.GetAcceptance() == wire.Acceptance_ACCEPTANCE_ANY {
+			s.refused++
+		}
 		j.decision <- reason
-	} else if start {
+	case start:
 		s.start(now, j)
+	default:
+		s.displace(now)
 	}
 	s.notifyPeers(now)
 }
 
+// admissionRequest returns the properties of a request offered at now that decide
+// when it runs.
+func admissionRequest(now time.Time, r *wire.RunRequest) admission.Request {
+	return admission.Request{
+		Route: r.GetRoute(), Priority: int(r.GetPriority()),
+		Target: now.Add(time.Duration(r.GetRemainingTarget())), Deadline: now.Add(time.Duration(r.GetRemaining())),
+		MaxWait: time.Duration(r.GetPatience()), Organisation: string(r.GetOrganisation()),
+		OrganisationPriority: int(r.GetOrganisationPriority()),
+		Nested:               r.GetWithoutOrganisation() && len(r.GetOrganisation()) == 0,
+		Again:                r.GetAcceptance() == wire.Acceptance_ACCEPTANCE_ANY,
+	}
+}
+
+// displace refuses the waiting request that would wait too long because requests of
+// other organisations overtook it.
+func (s *Service) displace(now time.Time) {
+	e, ok := s.queue.Displaced(now)
+	if !ok {
+		return
+	}
+	e.Value.decision <- admission.ReasonDisplaced
+	s.refused++
+	attempt := string(e.Value.request.GetAttempt())
+	if s.journal.AllowRequestLine(now, attempt, false) {
+		use, part := s.queue.RecentUse(now, e.Request)
+		s.Log.Info("A waiting request was displaced.", "request", attempt, "route", e.Route, "organisation", e.Organisation,
+			"organisationPriority", e.OrganisationPriority, "priority", e.Priority, "recentUse", use, "partOfUse", part,
+			"waited", now.Sub(e.ArrivedAt), "running", s.queue.Running(), "waiting", s.queue.Waiting())
+	}
+}
+
 // refusalReason returns why the request must be refused regardless of the load, or
 // an empty reason. It marks the request as a test if it tests a doubtful
 // instance.
@@ -291,7 +328,7 @@
 			return
 		}
 		if s.leaving || s.draining(next.Value.request.GetInstance()) {
-			s.queue.Finish(next.Route, 0)
+			s.queue.Finish(now, next.Value, 0)
 			next.Value.decision <- admission.ReasonLeaving
 			continue
 		}
@@ -310,7 +347,7 @@
 
 // finish releases the slot of a request and records the evidence from its outcome.
 func (s *Service) finish(now time.Time, j *job, e evidence) {
-	s.queue.Finish(j.request.GetRoute(), e.runTime)
+	s.queue.Finish(now, j, e.runTime)
 	if j.isTest {
 		s.runningTests--
 	}
@@ -365,6 +402,23 @@
 		spread.Forwarders(s.Random, state.RemotePeers))
 }
 
+// ReportLoad passes the load of the gate and the number of refusals since the last
+// call to f, in the goroutine of Run. A closed gate has no slots.
+func (s *Service) ReportLoad(f func(l room.Load, refused int)) {
+	err := s.commands.Offer(func(time.Time) {
+		l := room.Load{Instances: 1, Slots: s.queue.Slots, Running: s.queue.Running(), Waiting: s.queue.Waiting()}
+		if s.leaving {
+			l.Slots = 0
+		}
+		refused := s.refused
+		s.refused = 0
+		f(l, refused)
+	})
+	if err != nil {
+		s.Log.Debug("The load was not reported.", "err", err)
+	}
+}
+
 // condition returns the load and the failure estimate of the instance, under the
 // next sequence number.
 func (s *Service) condition(now time.Time) *wire.Condition {
--- a/sidecar/names/names.go
+++ b/sidecar/names/names.go
@@ -12,6 +12,7 @@
 	Authentication = "authentication"
 	Limiter        = "limiter"
 	Gate           = "gate"
+	Room           = "room"
 	Relay          = "relay"
 	Ingress        = "ingress"
 	Admin          = "admin"
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -100,6 +100,8 @@
 	notices *notice.Service
 
 	watchers []func()
+	// rooms provides the sums of load that announcements carry. It may be nil.
+	rooms    func(now time.Time) []*wire.RoomSummary
 	state    atomic.Pointer[State]
 	commands *ring.Ring[func(now time.Time)]
 	proof    atomic.Pointer[proofState]
@@ -151,6 +153,10 @@
 // methods of other services.
 func (s *Service) Watch(f func()) { s.watchers = append(s.watchers, f) }
 
+// AttachRooms makes f provide the sums of load that announcements carry. It may be
+// called only from the Bind methods of other services.
+func (s *Service) AttachRooms(f func(now time.Time) []*wire.RoomSummary) { s.rooms = f }
+
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
 	d := ring.Duty[func(time.Time)]{
@@ -363,6 +369,9 @@
 		ConfigVersion: s.config.version(),
 	}
 	s.addProof(a)
+	if s.rooms != nil {
+		a.Rooms = s.rooms(now)
+	}
 	s.notices.Send(&wire.Notice{Announcement: a}, s.dataCentrePeers)
 }
 
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -16,6 +16,7 @@
 	"cassiarack.example/lib/decision/belief"
 	"cassiarack.example/lib/decision/placement"
 	"cassiarack.example/lib/decision/retry"
+	"cassiarack.example/lib/decision/room"
 	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
@@ -70,6 +71,15 @@
 	RepeatShare() float64
 }
 
+// Rooms knows whether services have room.
+type Rooms interface {
+	// Admit reports whether a request for a service is admitted. If not, it returns
+	// the time after which the caller may try again.
+	Admit(ctx context.Context, service string, r room.Request) (admitted bool, retryAfter time.Duration)
+	// Observe records that an answered offer took the time stay.
+	Observe(service string, stay time.Duration)
+}
+
 // network implements Gates. It calls the gate on this VM directly and the gates on
 // other VMs over connections between sidecars.
 type network struct {
@@ -108,6 +118,7 @@
 	publication Publication
 	gates       Gates
 	ownGate     OwnGate
+	rooms       Rooms
 	journal     *journal.Service
 
 	commands         *ring.Ring[func(now time.Time)]
@@ -149,6 +160,9 @@
 		return err
 	}
 	s.gates, s.ownGate = gates, gates.own
+	if s.rooms, err = kernel.Find[Rooms](dir, names.Room); err != nil {
+		return err
+	}
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
@@ -326,10 +340,45 @@
 	return s.RepeatSlack * repeatBudgetShare / float64(nodes)
 }
 
-// takeRepeat takes one repeat from the budget of a service and reports whether the
-// budget allowed it.
-func (s *Service) takeRepeat(now time.Time, service string) bool {
-	return s.budget(service).Allow(now, s.slack(), 0)
+// takeRepeat takes one repeat from the budget of the service of r and reports whether
+// the budget allowed it. If the configuration has organisations, they share the
+// budget; requests that belong to none count as one further organisation.
+func (s *Service) takeRepeat(now time.Time, r *message.Request) bool {
+	b := s.budget(r.Service)
+	if !s.hasOrganisations() {
+		return b.Allow(now, s.slack(), 0)
+	}
+	if b.AllowShare(now, s.slack(), organisationName(r)) {
+		return true
+	}
+	s.Scope.Counter("repeats_denied").Inc(1)
+	return false
+}
+
+// hasOrganisations reports whether the configuration has organisations.
+func (s *Service) hasOrganisations() bool {
+	t := s.publication.State().Table
+	return t != nil && t.Register != nil
+}
+
+// hasRoom reports whether the service of r has room for it. If not, it returns the time
+// after which the caller may try again.
+func (s *Service) hasRoom(ctx context.Context, r *message.Request) (admitted bool, retryAfter time.Duration) {
+	q := room.Request{Organisation: organisationName(r), Priority: r.Route.Priority}
+	if r.Organisation != nil {
+		q.OrganisationPriority = r.Organisation.Priority
+	} else {
+		q.Nested = s.hasOrganisations()
+	}
+	return s.rooms.Admit(ctx, r.Service, q)
+}
+
+// organisationName returns the name of the organisation of r, or an empty name.
+func organisationName(r *message.Request) string {
+	if r.Organisation == nil {
+		return ""
+	}
+	return r.Organisation.Name
 }
 
 // mayTest reports whether a request may test a doubtful instance: its route must
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -26,6 +26,7 @@
 	"cassiarack.example/sidecar/journal"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/publication"
+	"cassiarack.example/sidecar/room"
 )
 
 // fakeFleet implements Gates and Publication for a service with three instances.
@@ -50,6 +51,9 @@
 	return f.reply(r.GetInstance())
 }
 
+// roomy admits all requests.
+var roomy room.Service
+
 func start(t *testing.T, reply func(instance string) (*wire.RunReply, error)) (*Service, *fakeFleet) {
 	t.Helper()
 	f := &fakeFleet{reply: reply, state: &publication.State{Instances: map[string]roster.Instance{},
@@ -61,7 +65,7 @@
 		f.state.Services["s"] = append(f.state.Services["s"], i)
 	}
 	s := &Service{RepeatRatio: 0.2, RepeatSlack: 64, RepeatWindow: 10 * time.Second, Scope: tally.NoopScope,
-		Random: rand.New(rand.NewPCG(1, 1)), Log: log.New(io.Discard), publication: f, gates: f, ownGate: f,
+		Random: rand.New(rand.NewPCG(1, 1)), Log: log.New(io.Discard), publication: f, gates: f, ownGate: f, rooms: &roomy,
 		journal: journal.New(io.Discard, log.InfoLevel), commands: ring.New[func(time.Time)](commandCapacity),
 		instances: map[string]*instanceState{}, budgets: map[string]*retry.WindowBudget{},
 		requestDurations: tally.NoopScope.Histogram("x", tally.DefaultBuckets)}
@@ -114,6 +118,7 @@
 		{"lost reply runs once", false, nil, io.ErrUnexpectedEOF, http.StatusBadGateway, 1},
 		{"lost reply is repeated", true, nil, io.ErrUnexpectedEOF, http.StatusBadGateway, 2},
 		{"gates are full", false, reply(refused, 0, "full"), nil, http.StatusServiceUnavailable, 0},
+		{"displaced at all gates", false, reply(refused, 0, "displaced"), nil, http.StatusServiceUnavailable, 9},
 		{"no time is left at the gate", false, reply(refused, 0, "expired"), nil, http.StatusServiceUnavailable, 1},
 		{"instances refuse", false, reply(refused, 503, gate.ReasonInstance), nil, http.StatusServiceUnavailable, 3},
 	}
@@ -259,3 +264,33 @@
 	}
 	golden.Check(t, "organisation", b.String())
 }
+
+// TestRepeatShares guards against one organisation that uses up the repeats of the
+// sidecar while others need some, and against such a bound where the configuration
+// has no organisations.
+func TestRepeatShares(t *testing.T) {
+	is := is.New(t)
+	for _, organisations := range [][]organisation.Organisation{nil, {{Name: "first"}, {Name: "second"}, {Name: "third"}}} {
+		s, f := start(t, nil)
+		register, err := organisation.NewRegister(nil, organisations)
+		is.NoErr(err)
+		f.state.Table.Register = register
+		now := time.Now()
+		s.RepeatRatio, s.RepeatSlack = 0, 120
+		allowed := 0
+		for n := range 100 {
+			r := request(true)
+			if len(organisations) > 0 {
+				r.Organisation = &organisations[0]
+			}
+			if n < 2 && len(organisations) > 0 {
+				r.Organisation = &organisations[n+1]
+			}
+			if s.takeRepeat(now, r) {
+				allowed++
+			}
+		}
+		// Two thirds of 102 repeats for the first organisation, one for each other.
+		is.Equal(allowed, map[bool]int{true: 100, false: 70}[organisations == nil])
+	}
+}
