--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -53,6 +53,8 @@
 	Target, Deadline time.Time
 	// MaxWait is the longest expected wait with which the request is queued.
 	MaxWait time.Duration
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 }
 
 // Entry is a waiting request with the value that the caller passed to Offer.
@@ -68,10 +70,17 @@
 type Queue[T comparable] struct {
 	// Slots is the number of requests that may run concurrently.
 	Slots int
+	// MaxBodyBytes bounds the bytes of the bodies that the instance has at one time. A
+	// request whose body does not fit waits like one without a slot. Zero means no
+	// bound.
+	MaxBodyBytes int64
 
-	running  int
-	waiting  []Entry[T]
-	runTimes map[string]time.Duration
+	running int
+	// bodyBytes is the number of bytes of the running requests that count towards
+	// MaxBodyBytes.
+	bodyBytes int64
+	waiting   []Entry[T]
+	runTimes  map[string]time.Duration
 	// observations is the number of observed run times of each route.
 	observations map[string]int
 }
@@ -103,11 +112,12 @@
 // Offer decides on a new request. The request starts at once if start is true;
 // otherwise it waits if reason is empty, and is refused if it is not.
 func (q *Queue[T]) Offer(now time.Time, r Request, v T) (start bool, reason Reason) {
-	if q.running < q.Slots && len(q.waiting) == 0 {
+	if q.running < q.Slots && q.fits(r) && (len(q.waiting) == 0 || q.passes(now, r)) {
 		if !q.canStart(now, r) {
 			return false, ReasonExpired
 		}
 		q.running++
+		q.bodyBytes += countedBytes(r.BodyBytes)
 		return true, ""
 	}
 	wait := q.expectedWait(now, r)
@@ -190,18 +200,34 @@
 	if q.running >= q.Slots || len(q.waiting) == 0 {
 		return next, false, expired
 	}
-	best := 0
-	for i := range q.waiting {
-		if q.runsBefore(now, q.waiting[i].Request, q.waiting[best].Request) {
-			best = i
-		}
+	best := q.first(now, anyRequest)
+	if !q.fits(q.waiting[best].Request) {
+		// Only small bodies pass a body that does not fit, so that it gets the room
+		// that others leave.
+		best = q.first(now, isSmall)
+	}
+	if best < 0 {
+		return next, false, expired
 	}
 	next = q.waiting[best]
 	q.waiting = slices.Delete(q.waiting, best, best+1)
 	q.running++
+	q.bodyBytes += countedBytes(next.BodyBytes)
 	return next, true, expired
 }
 
+// first returns the index of the first of the waiting requests that may start, or -1
+// if there is none.
+func (q *Queue[T]) first(now time.Time, mayStart func(Request) bool) int {
+	best := -1
+	for i := range q.waiting {
+		if mayStart(q.waiting[i].Request) && (best < 0 || q.runsBefore(now, q.waiting[i].Request, q.waiting[best].Request)) {
+			best = i
+		}
+	}
+	return best
+}
+
 // Finish frees the slot of a request that ran for the time ran. A time of zero
 // or less is not counted as an observation.
 func (q *Queue[T]) Finish(route string, ran time.Duration) {
--- a/lib/service/peers/peers.go
+++ b/lib/service/peers/peers.go
@@ -41,6 +41,10 @@
 	// cancelGrace is how long a cancellation waits for a send in progress to end.
 	cancelGrace = 5 * time.Millisecond
 
+	// maxKeptBuffer is the size in bytes of the largest reply after which a connection
+	// is used again.
+	maxKeptBuffer = 256 << 10
+
 	// poolCapacity is the maximum number of idle connections in the pool, and
 	// poolKeyCapacity the maximum for one node.
 	poolCapacity    = 1024
@@ -99,17 +103,41 @@
 	if err != nil {
 		return &Error{Op: "call " + rpc, Kind: KindEncode, Err: err}
 	}
-	return c.Conn.Invoke(ctx, rpc, encoded{Encoding: enc, data: data}, in, out)
+	return c.Conn.Invoke(ctx, rpc, &encoded{Encoding: enc, data: data}, in, out)
 }
 
 // encoded is an encoding whose message is already encoded.
 type encoded struct {
 	drpc.Encoding
 	data []byte
+	// received is the size in bytes of the last message that was decoded.
+	received int
 }
 
 // Marshal implements drpc.Encoding.
-func (e encoded) Marshal(drpc.Message) ([]byte, error) { return e.data, nil }
+func (e *encoded) Marshal(drpc.Message) ([]byte, error) { return e.data, nil }
+
+// Unmarshal implements drpc.Encoding.
+func (e *encoded) Unmarshal(data []byte, m drpc.Message) error {
+	e.received = len(data)
+	return e.Encoding.Unmarshal(data, m)
+}
+
+// dialledConn is a connection to another node. drpc keeps the buffer of a large
+// message until ten small ones have followed on its connection, and none may follow
+// for as long as the pool keeps it. A connection is therefore closed after a large
+// reply.
+type dialledConn struct{ *drpcconn.Conn }
+
+// Invoke implements drpc.Conn.
+func (c dialledConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
+	if e, ok := enc.(*encoded); ok && e.received > maxKeptBuffer {
+		// An error means that the connection is lost already.
+		_ = c.Close()
+	}
+	return err
+}
 
 func (s *Service) dial(ctx context.Context, addr netip.AddrPort) (drpcpool.Conn, error) {
 	timeout := s.DialTimeout
@@ -129,7 +157,7 @@
 		}
 		raw = conn
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+	return dialledConn{drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})}, nil
 }
 
 // NotSent reports whether a call failed before any part of it was sent: no
--- a/lib/service/peers/peers_test.go
+++ b/lib/service/peers/peers_test.go
@@ -33,7 +33,7 @@
 	is.NoErr(err)
 	s := &Service{Listener: l, Log: log.New(io.Discard)}
 	is.NoErr(s.Bind(nil))
-	is.NoErr(wire.DRPCRegisterRelay(s.Mux(), echoRelay{}))
+	is.NoErr(wire.DRPCRegisterRelay(s.Mux(), &echoRelay{}))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -327,9 +327,7 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	_, err := cn.net.Write(b.Bytes())
-	return err
+	return link.WriteAll(cn.net, b.Bytes(), r.Body)
 }
 
 // sendsZeroLength reports whether a request with the given method and an empty
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -75,7 +75,7 @@
 }
 
 func (i *fakeInstance) client() *Client {
-	return &Client{Address: netip.MustParseAddrPort(i.listener.Addr().String()), Memory: &memory.Pool{}}
+	return &Client{Address: netip.MustParseAddrPort(i.listener.Addr().String()), Memory: &memory.Pool{Account: &memory.Account{}}}
 }
 
 func get(id string) *Request {
@@ -235,7 +235,7 @@
 			}()
 		}
 	}()
-	return &Client{Address: netip.MustParseAddrPort(l.Addr().String()), Memory: &memory.Pool{Limit: 32 << 20}}, closed
+	return &Client{Address: netip.MustParseAddrPort(l.Addr().String()), Memory: &memory.Pool{Account: &memory.Account{Limit: 32 << 20}}}, closed
 }
 
 // TestEndlessAnswers guards against an instance whose bytes without end, in any
@@ -286,7 +286,7 @@
 		if grown := after.TotalAlloc - before.TotalAlloc; grown > smallestMachine {
 			t.Errorf("%s: %d bytes allocated", tc.name, grown)
 		}
-		fmt.Fprintf(&b, "%s: %s, %d bytes in use\n", tc.name, e.Kind, c.Memory.Used())
+		fmt.Fprintf(&b, "%s: %s, %d bytes in use\n", tc.name, e.Kind, c.Memory.Account.Used())
 	}
 	golden.Check(t, "endless", b.String())
 }
@@ -296,7 +296,7 @@
 func TestEndlessBodiesTogether(t *testing.T) {
 	is := is.New(t)
 	c, _ := endlessInstance(t, ok+idA+signed+"Connection: close\r\n\r\n", "x")
-	c.Memory.Limit = message.MaxBody / 2
+	c.Memory.Account.Limit = message.MaxBody / 2
 	results := make(chan error, 12)
 	for range cap(results) {
 		go func() {
@@ -307,7 +307,7 @@
 	for range cap(results) {
 		is.True(memory.IsKind(<-results, memory.KindExhausted))
 	}
-	is.Equal(c.Memory.Used(), int64(0))
+	is.Equal(c.Memory.Account.Used(), int64(0))
 }
 
 // TestRepeatedRefusal guards against a refusal of an earlier request that a faulty
--- a/sidecar/backend/cut_test.go
+++ b/sidecar/backend/cut_test.go
@@ -91,7 +91,7 @@
 		}
 		end(c)
 	}()
-	c := &Client{Address: netip.MustParseAddrPort(l.Addr().String()), Memory: &memory.Pool{}}
+	c := &Client{Address: netip.MustParseAddrPort(l.Addr().String()), Memory: &memory.Pool{Account: &memory.Account{}}}
 	r := get("a")
 	r.Method = method
 	a, err := c.Do(t.Context(), r)
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -24,7 +24,6 @@
 	"cassiarack.example/lib/decision/spread"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
-	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
 	"cassiarack.example/sidecar/journal"
@@ -44,6 +43,9 @@
 	// defaultSlots is the number of slots until the instance's entry is published.
 	defaultSlots    = 2
 	commandCapacity = 1024
+	// maxInstanceBodies bounds the bytes of the bodies that the instance has at one
+	// time. An instance fails when the requests that it holds exceed its memory.
+	maxInstanceBodies = 16 << 20
 	// leaveNoticeCount is the number of notices that announce a stop. More than one
 	// is sent because datagrams may be lost.
 	leaveNoticeCount = 2
@@ -53,7 +55,8 @@
 type Service struct {
 	// Instance is the address of the instance.
 	Instance netip.AddrPort
-	// Answers is the pool for the bodies of the instance's answers.
+	// Answers is the pool for the bodies of the instance's answers. The holds that
+	// callers pass belong to the same account.
 	Answers *memory.Pool
 	// MinStopTime is the shortest time from the start of a shutdown to the end of
 	// the process. The gate admits requests for most of it.
@@ -93,6 +96,8 @@
 // job is a request that waits or runs at the gate.
 type job struct {
 	request *wire.RunRequest
+	// bodyBytes is the size of the request's body.
+	bodyBytes int64
 	// decision receives exactly one value: the reason of a refusal, or an empty
 	// reason if the request is admitted.
 	decision chan admission.Reason
@@ -114,15 +119,11 @@
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
-	p, err := kernel.Find[*peers.Service](dir, names.Peers)
-	if err != nil {
-		return err
-	}
 	opened := s.Scope.Counter("instance_connections_opened")
 	s.client = &backend.Client{Address: s.Instance, OnOpen: func() { opened.Inc(1) }, Memory: s.Answers}
 	s.commands, s.stopped = ring.New[func(time.Time)](commandCapacity), make(chan struct{})
 	s.filter.Model = belief.DefaultModel
-	s.queue.Slots = defaultSlots
+	s.queue.Slots, s.queue.MaxBodyBytes = defaultSlots, maxInstanceBodies
 	s.publication.Watch(func() {
 		// If the ring is full, the next request or published change applies the
 		// publication instead.
@@ -130,7 +131,7 @@
 			s.Log.Debug("A published change has not been applied yet.", "err", err)
 		}
 	})
-	return wire.DRPCRegisterRelay(p.Mux(), s)
+	return nil
 }
 
 // Run implements kernel.Service.
@@ -217,7 +218,7 @@
 	start, reason := s.queue.Offer(now, admission.Request{
 		Route: r.GetRoute(), Priority: int(r.GetPriority()),
 		Target: now.Add(time.Duration(r.GetRemainingTarget())), Deadline: now.Add(time.Duration(r.GetRemaining())),
-		MaxWait: time.Duration(r.GetPatience()),
+		MaxWait: time.Duration(r.GetPatience()), BodyBytes: j.bodyBytes,
 	}, j)
 	if reason != "" {
 		j.decision <- reason
@@ -278,6 +279,7 @@
 			return
 		}
 		if s.leaving || s.draining(next.Value.request.GetInstance()) {
+			s.queue.FinishBody(next.BodyBytes)
 			s.queue.Finish(next.Route, 0)
 			next.Value.decision <- admission.ReasonLeaving
 			continue
@@ -297,6 +299,7 @@
 
 // finish releases the slot of a request and records the evidence from its outcome.
 func (s *Service) finish(now time.Time, j *job, e evidence) {
+	s.queue.FinishBody(j.bodyBytes)
 	s.queue.Finish(j.request.GetRoute(), e.runTime)
 	if j.isTest {
 		s.runningTests--
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -17,6 +17,7 @@
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/backend"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
 
@@ -43,38 +44,92 @@
 // made itself, in Unix nanoseconds.
 type nestedFailure struct{ at atomic.Int64 }
 
-// Offer implements the RPC by which other sidecars offer a request to the instance.
-// It returns when the request is refused or has run.
-func (s *Service) Offer(ctx context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
+// Grant is a slot of the instance that is reserved for one request. Exactly one of its
+// methods is called, once.
+type Grant interface {
+	// Run runs the request with its body and frees the slot. The memory of the
+	// answer's body is kept by answer.
+	Run(ctx context.Context, body []byte, answer *memory.Hold) *wire.RunReply
+	// Withdraw frees the slot. The instance has received nothing of the request.
+	Withdraw()
+}
+
+// grant implements Grant.
+type grant struct {
+	service  *Service
+	job      *job
+	received time.Time
+	span     trace.Span
+}
+
+// Offer offers a request with its body to the instance. It returns when the request
+// is refused or has run.
+func (s *Service) Offer(ctx context.Context, r *wire.RunRequest, answer *memory.Hold) *wire.RunReply {
+	g, refusal := s.Admit(ctx, r, int64(len(r.GetBody())))
+	if refusal != nil {
+		return refusal
+	}
+	return g.Run(ctx, r.GetBody(), answer)
+}
+
+// Admit decides on a request with a body of the given size. It returns when a slot is
+// reserved for the request or it is refused.
+func (s *Service) Admit(ctx context.Context, r *wire.RunRequest, bodyBytes int64) (Grant, *wire.RunReply) {
 	ctx, span := otel.Tracer(tracerName).Start(tracing.WithTraceParent(ctx, r.GetTraceParent()), "gate",
 		trace.WithSpanKind(trace.SpanKindServer))
-	defer span.End()
-	reply, err := s.handleRequest(ctx, r)
-	if span.IsRecording() {
-		span.SetAttributes(tracing.String("request", string(r.GetAttempt())), attribute.String("instance", r.GetInstance()),
-			attribute.String("outcome", OutcomeName(reply.GetOutcome())), tracing.String("reason", reply.GetReason()))
+	g := &grant{service: s, received: time.Now(), span: span,
+		job: &job{request: r, bodyBytes: bodyBytes, decision: make(chan admission.Reason, 1)}}
+	if refusal := s.admit(ctx, g); refusal != nil {
+		g.endSpan(refusal)
+		return nil, refusal
 	}
-	return reply, err
+	s.executing.Add(1)
+	return g, nil
 }
 
-// handleRequest decides on a request and runs it if it is admitted.
-func (s *Service) handleRequest(ctx context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
-	j := &job{request: r, decision: make(chan admission.Reason, 1)}
-	received := time.Now()
+// admit returns a refusal, or nil if a slot is reserved.
+func (s *Service) admit(ctx context.Context, g *grant) *wire.RunReply {
+	j, r := g.job, g.job.request
 	if err := s.commands.Offer(func(now time.Time) { s.admitOrQueue(now, j) }); err != nil {
-		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(admission.ReasonFull)}, nil
+		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(admission.ReasonFull)}
 	}
-	if reason := s.awaitDecision(ctx, j); reason != "" {
-		if now := time.Now(); s.journal.AllowRequestLine(now, string(r.GetAttempt()), false) {
-			s.Log.Info("A request was refused.", "request", string(r.GetAttempt()), "instance", r.GetInstance(),
-				"reason", reason, "patience", time.Duration(r.GetPatience()), "acceptance", r.GetAcceptance(),
-				"waited", now.Sub(received), "left", time.Duration(r.GetRemaining())-now.Sub(received))
-		}
-		s.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter("gate_refusals").Inc(1)
-		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(reason),
-			Condition: s.requestCondition(ctx)}, nil
+	reason := s.awaitDecision(ctx, j)
+	if reason == "" {
+		return nil
 	}
-	return s.execute(ctx, j, received)
+	if now := time.Now(); s.journal.AllowRequestLine(now, string(r.GetAttempt()), false) {
+		s.Log.Info("A request was refused.", "request", string(r.GetAttempt()), "instance", r.GetInstance(),
+			"reason", reason, "patience", time.Duration(r.GetPatience()), "acceptance", r.GetAcceptance(),
+			"waited", now.Sub(g.received), "left", time.Duration(r.GetRemaining())-now.Sub(g.received))
+	}
+	s.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter("gate_refusals").Inc(1)
+	return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(reason),
+		Condition: s.requestCondition(ctx)}
+}
+
+// endSpan ends the span of the request with its outcome.
+func (g *grant) endSpan(reply *wire.RunReply) {
+	if g.span.IsRecording() {
+		r := g.job.request
+		g.span.SetAttributes(tracing.String("request", string(r.GetAttempt())), attribute.String("instance", r.GetInstance()),
+			attribute.String("outcome", OutcomeName(reply.GetOutcome())), tracing.String("reason", reply.GetReason()))
+	}
+	g.span.End()
+}
+
+// Withdraw implements Grant.
+func (g *grant) Withdraw() {
+	g.service.executing.Add(-1)
+	g.service.release(g.job, evidence{})
+	g.endSpan(nil)
+}
+
+// Run implements Grant.
+func (g *grant) Run(ctx context.Context, body []byte, answer *memory.Hold) *wire.RunReply {
+	defer g.service.executing.Add(-1)
+	reply := g.service.execute(trace.ContextWithSpan(ctx, g.span), g, body, answer)
+	g.endSpan(reply)
+	return reply
 }
 
 // awaitDecision waits for the decision on a request. If ctx ends first, the
@@ -121,13 +176,16 @@
 	}
 }
 
-// execute runs an admitted request at the instance.
-func (s *Service) execute(ctx context.Context, j *job, received time.Time) (*wire.RunReply, error) {
-	s.executing.Add(1)
-	defer s.executing.Add(-1)
-	r := j.request
+// execute runs an admitted request at the instance. It refuses a request whose
+// deadline has passed while its body arrived.
+func (s *Service) execute(ctx context.Context, g *grant, body []byte, keep *memory.Hold) *wire.RunReply {
+	j, r, received := g.job, g.job.request, g.received
 	started := time.Now()
 	left := time.Duration(r.GetRemaining()) - started.Sub(received)
+	if left <= 0 {
+		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(admission.ReasonExpired),
+			Condition: s.release(j, evidence{})}
+	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	header := make(http.Header, len(r.GetHeaders())+2)
@@ -137,10 +195,10 @@
 	platform.SetTargetHeaders(header, r.GetInstance(), left)
 	defer s.watchRunTime(j)()
 	answer, err := s.run(ctx, &backend.Request{Method: string(r.GetMethod()), Target: string(r.GetTarget()),
-		Host: string(r.GetHost()), Attempt: string(r.GetAttempt()), Header: header, Body: r.GetBody(), Idempotent: r.GetIdempotent()})
+		Host: string(r.GetHost()), Attempt: string(r.GetAttempt()), Header: header, Body: body, Idempotent: r.GetIdempotent()})
 	ended := time.Now()
 	if answer != nil {
-		defer s.Answers.Release(answer.Body)
+		keep.Keep(answer.Body)
 	}
 	reply := replyFor(answer, err)
 	e := s.evaluate(ctx, ended, answer, err)
@@ -155,7 +213,7 @@
 			"failing", float64(reply.GetCondition().GetFailingPermille())/1000, "weight", e.weight, "test", j.isTest,
 			"waited", started.Sub(received), "ran", ended.Sub(started))
 	}
-	return reply, nil
+	return reply
 }
 
 // release frees the slot of a request that has run, and returns the condition of
--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -14,7 +14,9 @@
 	"sync"
 	"time"
 
+	"cassiarack.example/lib/link"
 	"cassiarack.example/lib/ring"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
 
@@ -54,6 +56,8 @@
 	closeAfter bool
 	// answer delivers the response, or nil if the request is incomplete.
 	answer chan *message.Answer
+	// memory is the memory of the response until it is written.
+	memory *memory.Hold
 }
 
 func newConn(s *Service, raw net.Conn) *conn {
@@ -137,7 +141,8 @@
 		if err != nil {
 			return c.refuseHead(ctx, err)
 		}
-		e := &exchange{method: head.Method, closeAfter: head.Close, answer: make(chan *message.Answer, 1)}
+		e := &exchange{method: head.Method, closeAfter: head.Close, answer: make(chan *message.Answer, 1),
+			memory: &memory.Hold{Account: c.service.Bodies.Account}}
 		if !c.beginRequest() {
 			return nil
 		}
@@ -159,7 +164,7 @@
 			request, end := c.service.requestContext(ctx)
 			defer end()
 			defer c.service.Bodies.Release(body)
-			e.answer <- c.service.handle(request, head, body, received)
+			e.answer <- c.service.handle(request, head, body, e.memory, received)
 		}()
 		if head.Close {
 			return nil
@@ -301,6 +306,7 @@
 func (c *conn) awaitAndSend(ctx context.Context, e *exchange) error {
 	defer c.service.inflight.Add(-1)
 	a := <-e.answer
+	defer e.memory.Release()
 	if a == nil {
 		return errClientLeft
 	}
@@ -339,13 +345,14 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
+	var body []byte
 	if !bodyless && method != http.MethodHead {
-		b.Write(a.Body)
+		body = a.Body
 	}
 	if err := c.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return fmt.Errorf("ingress: write answer: %w", err)
 	}
-	if _, err := c.net.Write(b.Bytes()); err != nil {
+	if err := link.WriteAll(c.net, b.Bytes(), body); err != nil {
 		return fmt.Errorf("ingress: write answer: %w", err)
 	}
 	return nil
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Service{Listener: l, CallerService: "s", Bodies: &memory.Pool{}, Scope: tally.NoopScope, Log: log.New(io.Discard)}
+	s := &Service{Listener: l, CallerService: "s", Bodies: &memory.Pool{Account: &memory.Account{}}, Scope: tally.NoopScope, Log: log.New(io.Discard)}
 	ctx, cancel := context.WithCancel(t.Context())
 	k := &kernel.Kernel{Log: log.New(io.Discard), DrainTimeout: 5 * time.Second, Registrations: []kernel.Registration{
 		{Name: names.Publication, Service: f}, {Name: names.Relay, Service: f}, {Name: names.Gate, Service: f},
@@ -421,7 +421,7 @@
 func TestBodyMemory(t *testing.T) {
 	is := is.New(t)
 	s, f, address, _ := startIngress(t)
-	s.Bodies.Limit = 8 << 10
+	s.Bodies.Account.Limit = 8 << 10
 	status := func(text string) int {
 		t.Helper()
 		c := dial(t, address)
@@ -435,9 +435,9 @@
 	chunked := "POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
 	is.Equal(status(fmt.Sprintf(post, "")), http.StatusOK)
 	is.Equal(status(chunked+strings.Repeat("T: 1\r\n", 100)), http.StatusRequestHeaderFieldsTooLarge)
-	is.Equal(s.Bodies.Used(), int64(0))
-	s.Bodies.Limit = 1
+	is.Equal(s.Bodies.Account.Used(), int64(0))
+	s.Bodies.Account.Limit = 1
 	is.Equal(status(fmt.Sprintf(post, "")), http.StatusServiceUnavailable)
-	is.Equal(s.Bodies.Used(), int64(0))
+	is.Equal(s.Bodies.Account.Used(), int64(0))
 	is.Equal(len(f.requests), 1) // the refused requests were not forwarded
 }
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -12,16 +12,18 @@
 
 	"cassiarack.example/lib/tracing"
 	"cassiarack.example/platform"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
 
 // handle returns the response to one request and records a trace span for it.
-func (s *Service) handle(ctx context.Context, head *http.Request, body []byte, received time.Time) *message.Answer {
+func (s *Service) handle(ctx context.Context, head *http.Request, body []byte, answerMemory *memory.Hold,
+	received time.Time) *message.Answer {
 	attempt := platform.AttemptID(head.Header)
 	ctx, span := otel.Tracer(tracerName).Start(tracing.WithTraceParent(ctx, head.Header.Get(tracing.Header)), "request",
 		trace.WithTimestamp(received), trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	a := s.answer(ctx, attempt, head, body, received)
+	a := s.answer(ctx, attempt, head, body, answerMemory, received)
 	if span.IsRecording() {
 		span.SetAttributes(tracing.String("request", attempt), tracing.String("host", head.Host),
 			attribute.Int("status", a.Status), attribute.Bool("own", a.FromFleet))
@@ -33,7 +35,7 @@
 // Requests without a configuration or a route, and those that arrive too late
 // in a shutdown, are refused.
 func (s *Service) answer(ctx context.Context, attempt string, head *http.Request, body []byte,
-	received time.Time) *message.Answer {
+	answerMemory *memory.Hold, received time.Time) *message.Answer {
 	table := s.publication.State().Table
 	if table == nil {
 		if s.journal.AllowRequestLine(received, attempt, false) {
@@ -69,7 +71,7 @@
 	}
 	a := s.relay.Serve(ctx, &message.Request{
 		Attempt: attempt, Method: head.Method, Target: target, Host: head.Host,
-		Header: platform.RequestHeader(head.Header, s.CallerService), Body: body,
+		Header: platform.RequestHeader(head.Header, s.CallerService), Body: body, AnswerMemory: answerMemory,
 		Route: route, ConfigVersion: table.Configuration.Version, Service: s.chooseService(table, route),
 		Received: received, Deadline: s.deadlineInStop(deadline), TargetTime: received.Add(route.TargetLatency),
 	})
--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -181,16 +181,18 @@
 	if r.ContentLength > limit {
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+	if chunked {
+		if err := c.sendContinue(r); err != nil {
 			return nil, err
 		}
 	}
-	source := io.LimitReader(c.reader, r.ContentLength)
+	var body []byte
+	var err error
 	if chunked {
-		source = httputil.NewChunkedReader(c.reader)
+		body, err = c.service.Bodies.ReadAll(httputil.NewChunkedReader(c.reader), int(limit))
+	} else {
+		body, err = c.readSized(r)
 	}
-	body, err := c.service.Bodies.ReadAll(source, int(limit))
 	switch {
 	case memory.IsKind(err, memory.KindTooLarge):
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
@@ -198,9 +200,6 @@
 		return nil, &refusal{http.StatusServiceUnavailable, "not run: the memory for bodies is in use"}
 	case err != nil:
 		return nil, fmt.Errorf("ingress: %w", err)
-	case !chunked && int64(len(body)) < r.ContentLength:
-		c.service.Bodies.Release(body)
-		return nil, fmt.Errorf("ingress: read body: %w", io.ErrUnexpectedEOF)
 	}
 	if !chunked {
 		return body, nil
@@ -212,6 +211,32 @@
 	return body, nil
 }
 
+// readSized reads a body whose size is known. Its memory is taken before the client is
+// asked for it and before anything is read.
+func (c *conn) readSized(r *http.Request) ([]byte, error) {
+	body, err := c.service.Bodies.Make(int(r.ContentLength))
+	if err != nil {
+		return nil, err
+	}
+	if err = c.sendContinue(r); err == nil {
+		_, err = io.ReadFull(c.reader, body)
+	}
+	if err != nil {
+		c.service.Bodies.Release(body)
+		return nil, err
+	}
+	return body, nil
+}
+
+// sendContinue asks a client that waits for it to send its body.
+func (c *conn) sendContinue(r *http.Request) error {
+	if !strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		return nil
+	}
+	_, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
 // skipTrailer reads and discards the trailer after the last chunk. It refuses a
 // trailer that is larger than the limit of a header.
 func (c *conn) skipTrailer() error {
--- a/sidecar/memory/memory.go
+++ b/sidecar/memory/memory.go
@@ -7,10 +7,11 @@
 package memory
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
+	"sync"
 )
 
 // initialCapacity is the capacity in bytes with which a body begins.
@@ -23,7 +24,7 @@
 const (
 	// KindTooLarge means that the body exceeds its own limit.
 	KindTooLarge Kind = "too large"
-	// KindExhausted means that the bodies in flight use the whole pool.
+	// KindExhausted means that the bodies in flight leave too little memory.
 	KindExhausted Kind = "memory exhausted"
 	// KindRead means that the source returned an error before its end.
 	KindRead Kind = "read"
@@ -55,16 +56,106 @@
 	return errors.As(err, &e) && e.Kind == kind
 }
 
-// Pool is an amount of memory for bodies. It is safe for concurrent use.
-type Pool struct {
-	// Limit is the size of the pool in bytes. Zero means no limit.
+// Large is the size in bytes above which a body counts as large.
+const Large = 64 << 10
+
+// largeShare is the part of an account that large bodies may take, so that small
+// ones are served while many large ones are in flight.
+const largeShare = 0.5
+
+// Account is the memory that all bodies in a process may take together, with the
+// copies that are made of them. It is safe for concurrent use.
+type Account struct {
+	// Limit is the size of the account in bytes. Zero means no limit. While the
+	// account is in use, SetLimit changes it.
 	Limit int64
+	// OnRefusal, if not nil, is called after each refused reservation with its size.
+	OnRefusal func(size int64)
 
-	used atomic.Int64
+	mu sync.Mutex
+	// used is the number of bytes in use, and large the part of it that belongs to
+	// large bodies.
+	used, large int64
+}
+
+// SetLimit changes the size of the account. Memory in use stays in use.
+func (a *Account) SetLimit(limit int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Limit = limit
 }
 
 // Used returns the number of bytes in use.
-func (p *Pool) Used() int64 { return p.used.Load() }
+func (a *Account) Used() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used
+}
+
+// reserve takes n bytes if they fit. Large bodies fit if all large ones take at most
+// the given share of the account together.
+func (a *Account) reserve(n int64, share float64) bool {
+	a.mu.Lock()
+	fits := a.Limit <= 0 || a.used+n <= a.Limit && (n <= Large || float64(a.large+n) <= share*float64(a.Limit))
+	if fits {
+		a.addLocked(n)
+	}
+	a.mu.Unlock()
+	if !fits && a.OnRefusal != nil {
+		a.OnRefusal(n)
+	}
+	return fits
+}
+
+// add takes n bytes that are in use already, or returns -n bytes.
+func (a *Account) add(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.addLocked(n)
+}
+
+func (a *Account) addLocked(n int64) {
+	a.used += n
+	if n > Large || n < -Large {
+		a.large += n
+	}
+}
+
+// Pool is the access of one kind of bodies to an account. It is safe for concurrent
+// use.
+type Pool struct {
+	Account *Account
+	// LargeShare is the part of the account up to which large bodies of this kind
+	// are accepted. Zero means the part of all large bodies. Requests have a smaller
+	// one than answers, because a request that ran and whose answer does not fit
+	// fails.
+	LargeShare float64
+}
+
+func (p *Pool) reserve(n int64) bool { return p.Account.reserve(n, cmp.Or(p.LargeShare, largeShare)) }
+
+// ReadFull reads exactly size bytes of r. The memory of the result is taken from the
+// pool until Release, before anything is read. On an error, nothing stays taken.
+func (p *Pool) ReadFull(r io.Reader, size int) ([]byte, error) {
+	body, err := p.Make(size)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.ReadFull(r, body); err != nil {
+		p.Release(body)
+		return nil, &Error{Op: "read body", Kind: KindRead, Err: err}
+	}
+	return body, nil
+}
+
+// Make returns a body of size bytes whose memory is taken from the pool until
+// Release.
+func (p *Pool) Make(size int) ([]byte, error) {
+	if !p.reserve(int64(size)) {
+		return nil, &Error{Op: "make body", Kind: KindExhausted}
+	}
+	return make([]byte, size), nil
+}
 
 // ReadAll reads r to its end, at most limit bytes. The memory of the result is
 // taken from the pool until Release. On an error, nothing stays taken.
@@ -108,14 +199,65 @@
 	return grown, nil
 }
 
-func (p *Pool) reserve(n int64) bool {
-	if used := p.used.Add(n); p.Limit > 0 && used > p.Limit {
-		p.used.Add(-n)
-		return false
+// Release returns the memory of a body that the pool made or read. A nil body holds
+// no memory.
+func (p *Pool) Release(body []byte) { p.Account.add(-int64(cap(body))) }
+
+// Hold is memory of an account that is released as a whole, such as that of an answer
+// until it is written. It is safe for concurrent use. A nil Hold counts nothing.
+type Hold struct {
+	// Account is the account that the memory belongs to.
+	Account *Account
+
+	mu    sync.Mutex
+	taken []int64
+}
+
+// Reserve takes n bytes of the pool, which belongs to the same account, if they fit.
+func (h *Hold) Reserve(p *Pool, n int64) error {
+	if h == nil {
+		return nil
 	}
-	return true
+	if !p.reserve(n) {
+		return &Error{Op: "reserve", Kind: KindExhausted}
+	}
+	h.keep(n)
+	return nil
 }
 
-// Release returns the memory of a body that ReadAll returned. A nil body holds no
-// memory.
-func (p *Pool) Release(body []byte) { p.used.Add(-int64(cap(body))) }
+// Add takes n bytes that are in use already. They may exceed the limit of the
+// account, which then refuses further reservations.
+func (h *Hold) Add(n int64) {
+	if h == nil {
+		return
+	}
+	h.Account.add(n)
+	h.keep(n)
+}
+
+// Keep takes over the memory of a body that a pool of the same account made or read.
+func (h *Hold) Keep(body []byte) {
+	if h != nil {
+		h.keep(int64(cap(body)))
+	}
+}
+
+func (h *Hold) keep(n int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.taken = append(h.taken, n)
+}
+
+// Release returns all memory of the hold.
+func (h *Hold) Release() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	taken := h.taken
+	h.taken = nil
+	h.mu.Unlock()
+	for _, n := range taken {
+		h.Account.add(-n)
+	}
+}
--- a/sidecar/memory/memory_test.go
+++ b/sidecar/memory/memory_test.go
@@ -19,11 +19,11 @@
 // limit of the pool, and against memory that stays reserved after an error.
 func TestReadAll(t *testing.T) {
 	is := is.New(t)
-	p := &Pool{Limit: 64 << 10}
+	p := &Pool{Account: &Account{Limit: 64 << 10}}
 	body, err := p.ReadAll(iotest.OneByteReader(bytes.NewReader(make([]byte, 10_000))), 20_000)
 	is.NoErr(err)
 	is.Equal(len(body), 10_000)
-	is.Equal(p.Used(), int64(cap(body)))
+	is.Equal(p.Account.Used(), int64(cap(body)))
 	_, err = p.ReadAll(endless{}, 20_000)
 	is.True(IsKind(err, KindTooLarge))
 	_, err = p.ReadAll(endless{}, 1<<20)
@@ -31,10 +31,61 @@
 	_, err = p.ReadAll(iotest.TimeoutReader(iotest.OneByteReader(bytes.NewReader(make([]byte, 10)))), 100)
 	is.True(IsKind(err, KindRead))
 	is.True(errors.Is(err, iotest.ErrTimeout))
-	is.Equal(p.Used(), int64(cap(body))) // failed reads keep nothing
+	is.Equal(p.Account.Used(), int64(cap(body))) // failed reads keep nothing
 	p.Release(body)
-	is.Equal(p.Used(), int64(0))
+	is.Equal(p.Account.Used(), int64(0))
 	exact, err := p.ReadAll(io.LimitReader(endless{}, 20_000), 20_000)
 	is.NoErr(err)
 	is.Equal(len(exact), 20_000)
 }
+
+// TestLargeBodies guards against large bodies that leave no memory for small ones, and
+// against large requests that leave none for the answers of those that run.
+func TestLargeBodies(t *testing.T) {
+	is := is.New(t)
+	var refused []int64
+	a := &Account{Limit: 10 << 20, OnRefusal: func(n int64) { refused = append(refused, n) }}
+	requests, answers := &Pool{Account: a, LargeShare: 0.375}, &Pool{Account: a}
+	body, err := requests.ReadFull(endless{}, 3<<20)
+	is.NoErr(err)
+	reads := 0
+	_, err = requests.ReadFull(readerFunc(func(p []byte) (int, error) { reads++; return len(p), nil }), 1<<20)
+	is.True(IsKind(err, KindExhausted))
+	is.Equal(reads, 0) // a body that does not fit is not read
+	answer, err := answers.Make(2 << 20)
+	is.NoErr(err)
+	_, err = answers.Make(1 << 20)
+	is.True(IsKind(err, KindExhausted))
+	is.Equal(refused, []int64{1 << 20, 1 << 20})
+	var small [][]byte
+	for range 50 {
+		b, err := requests.ReadFull(endless{}, 64<<10)
+		is.NoErr(err)
+		small = append(small, b)
+	}
+	h := &Hold{Account: a}
+	h.Keep(answer)
+	h.Add(7 << 20) // more than the account has
+	_, err = requests.ReadFull(endless{}, 1)
+	is.True(IsKind(err, KindExhausted))
+	h.Release()
+	h.Release() // has nothing left
+	requests.Release(body)
+	is.Equal(a.Used(), int64(50*64<<10))
+	for _, b := range small {
+		requests.Release(b)
+	}
+	is.NoErr(h.Reserve(answers, 5<<20)) // no byte counts as large any more
+	is.True(IsKind(h.Reserve(answers, 65<<10), KindExhausted))
+	a.SetLimit(20 << 20)
+	is.NoErr(h.Reserve(answers, 65<<10))
+	h.Release()
+	is.Equal(a.Used(), int64(0))
+	_, err = requests.ReadFull(io.LimitReader(endless{}, 9), 10)
+	is.True(IsKind(err, KindRead))
+	is.Equal(a.Used(), int64(0))
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -8,6 +8,7 @@
 
 	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/routing"
+	"cassiarack.example/sidecar/memory"
 )
 
 // MaxBody is the maximum size of the body of a request or an answer in bytes. Bodies
@@ -25,7 +26,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	Route  *routing.Route
+	// AnswerMemory counts the memory of the answer until it is written.
+	AnswerMemory *memory.Hold
+	Route        *routing.Route
 	// Organisation is the organisation whose key the client sent, or nil.
 	Organisation *organisation.Organisation
 	// ConfigVersion is the version of the configuration that contains the route.
--- a/sidecar/names/names.go
+++ b/sidecar/names/names.go
@@ -10,6 +10,7 @@
 	Notices     = "notices"
 	Publication = "publication"
 	Gate        = "gate"
+	Transfer    = "transfer"
 	Relay       = "relay"
 	Ingress     = "ingress"
 	Admin       = "admin"
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -19,10 +19,9 @@
 	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
-	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/wire"
-	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/names"
 	"cassiarack.example/sidecar/notice"
@@ -57,37 +56,16 @@
 
 // Gates offers requests to the gates of instances.
 type Gates interface {
-	// Offer offers a request to the gate on a VM and returns the gate's reply. An
-	// error means that no reply arrived; peers.NotSent reports whether the
-	// request was certainly not sent.
-	Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest) (*wire.RunReply, error)
-}
-
-// network implements Gates. It calls the gate on this VM directly and the gates on
-// other VMs over connections between sidecars.
-type network struct {
-	self  netip.Addr
-	port  uint16
-	own   *gate.Service
-	peers *peers.Service
-}
-
-// Offer implements Gates.
-func (n *network) Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest) (*wire.RunReply, error) {
-	if vm == n.self {
-		return n.own.Offer(ctx, r)
-	}
-	return wire.NewDRPCRelayClient(n.peers.Conn(ctx, netip.AddrPortFrom(vm, n.port))).Offer(ctx, r)
+	// Offer offers a request to the gate on a VM and returns the gate's reply. The
+	// memory of the answer is kept by answer. An error means that no reply arrived;
+	// transfer.NotSent reports whether the request did not run and never will.
+	Offer(ctx context.Context, vm netip.Addr, r *wire.RunRequest, answer *memory.Hold) (*wire.RunReply, error)
 }
 
 // Service forwards requests to instances.
 type Service struct {
 	// DataCentre is the data centre of this VM.
 	DataCentre string
-	// Self is the address of this VM.
-	Self netip.Addr
-	// Port is the port on which other sidecars accept calls.
-	Port uint16
 	// RepeatRatio, RepeatSlack and RepeatWindow define the budget for repeats that
 	// all sidecars share: in any window, repeats are limited to the ratio times the
 	// number of requests, plus the slack.
@@ -133,14 +111,9 @@
 	if s.publication, err = kernel.Find[Publication](dir, names.Publication); err != nil {
 		return err
 	}
-	gates := &network{self: s.Self, port: s.Port}
-	if gates.peers, err = kernel.Find[*peers.Service](dir, names.Peers); err != nil {
-		return err
-	}
-	if gates.own, err = kernel.Find[*gate.Service](dir, names.Gate); err != nil {
+	if s.gates, err = kernel.Find[Gates](dir, names.Transfer); err != nil {
 		return err
 	}
-	s.gates = gates
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/journal"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/publication"
 )
@@ -36,7 +37,7 @@
 
 func (f *fakeFleet) State() *publication.State { return f.state }
 
-func (f *fakeFleet) Offer(_ context.Context, _ netip.Addr, r *wire.RunRequest) (*wire.RunReply, error) {
+func (f *fakeFleet) Offer(_ context.Context, _ netip.Addr, r *wire.RunRequest, _ *memory.Hold) (*wire.RunReply, error) {
 	f.sent = append(f.sent, r.GetInstance())
 	return f.reply(r.GetInstance())
 }
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -18,6 +18,7 @@
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/message"
+	"cassiarack.example/sidecar/transfer"
 )
 
 const tracerName = "cassiarack/relay"
@@ -142,7 +143,7 @@
 	now := time.Now()
 	// If the client closed the connection or nothing could be sent, a missing reply
 	// is no sign that the sidecar is unreachable.
-	reached := err == nil || errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, peers.ErrEncode)
+	reached := err == nil || errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, peers.ErrEncode) || transfer.Reached(err)
 	s.enqueue(func(now time.Time) { s.completeOffer(now, pl.ID, reply.GetCondition(), reached) })
 	if err != nil {
 		return s.handleNoReply(ctx, now, r, p, pl, err)
@@ -208,7 +209,7 @@
 			q.Headers = append(q.Headers, &wire.HeaderField{Name: []byte(name), Value: []byte(v)})
 		}
 	}
-	return s.gates.Offer(ctx, pl.Address.Addr(), q)
+	return s.gates.Offer(ctx, pl.Address.Addr(), q, r.AnswerMemory)
 }
 
 // handleNoReply updates p after an offer without a reply and reports whether
@@ -220,7 +221,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		p.reason = "the client left"
 	}
-	if peers.NotSent(err) {
+	if transfer.NotSent(err) {
 		return true
 	}
 	p.sent++
--- a/sidecar/reload.go
+++ b/sidecar/reload.go
@@ -27,8 +27,9 @@
 	Hangups <-chan os.Signal
 	Log     *log.Logger
 
-	journal levelSetter
-	relay   repeatBudgetSetter
+	journal  levelSetter
+	relay    repeatBudgetSetter
+	transfer bodyMemorySetter
 
 	current *settings.Settings
 	// lastError is the text of the last error. The same error of a file that
@@ -44,6 +45,9 @@
 	SetRepeatBudget(ratio, slack float64, window time.Duration)
 }
 
+// bodyMemorySetter changes the memory for the bodies in flight, in bytes.
+type bodyMemorySetter interface{ SetBodyMemory(limit int64) }
+
 // Bind implements kernel.Service.
 func (r *reloader) Bind(dir *kernel.Directory) error {
 	r.current = r.Started
@@ -51,7 +55,10 @@
 	if r.journal, err = kernel.Find[levelSetter](dir, names.Journal); err != nil {
 		return err
 	}
-	r.relay, err = kernel.Find[repeatBudgetSetter](dir, names.Relay)
+	if r.relay, err = kernel.Find[repeatBudgetSetter](dir, names.Relay); err != nil {
+		return err
+	}
+	r.transfer, err = kernel.Find[bodyMemorySetter](dir, names.Transfer)
 	return err
 }
 
@@ -98,6 +105,7 @@
 	}
 	r.current = s
 	setMemoryLimit(s)
+	r.transfer.SetBodyMemory(bodyMemoryLimit(s))
 	r.journal.SetLevel(level)
 	r.relay.SetRepeatBudget(s.RepeatRatio, s.RepeatSlack, s.RepeatWindow)
 	if keys := settings.RestartRequired(r.Started, s); len(keys) > 0 {
--- a/sidecar/reload_test.go
+++ b/sidecar/reload_test.go
@@ -22,6 +22,8 @@
 	fmt.Fprintf(r.out, "repeats %g, %g, %v\n", ratio, slack, window)
 }
 
+func (r *recorder) SetBodyMemory(limit int64) { fmt.Fprintf(r.out, "body memory %d\n", limit) }
+
 // TestReload guards against changed settings that are logged but not applied,
 // invalid settings that are applied or end the process, and changes of
 // addresses that are ignored without a warning.
@@ -31,7 +33,7 @@
 	var next *settings.Settings
 	var fault error
 	applied := &recorder{out: &out}
-	r := &reloader{Started: started, current: started, journal: applied, relay: applied,
+	r := &reloader{Started: started, current: started, journal: applied, relay: applied, transfer: applied,
 		Log:  log.NewWithOptions(&out, log.Options{Formatter: log.LogfmtFormatter}),
 		Read: func() (*settings.Settings, error) { return next, fault }}
 	step := func(name string, s settings.Settings, err error, signalled bool) {
@@ -45,6 +47,7 @@
 	step("still faulty", settings.Settings{}, errors.New("settings: line 3"), false)
 	step("unknown level", settings.Settings{Name: "a", LogLevel: "loud"}, nil, false)
 	step("budget and level", settings.Settings{Name: "a", RepeatSlack: 20, LogLevel: "debug"}, nil, false)
+	step("memory", settings.Settings{Name: "a", RepeatSlack: 20, LogLevel: "debug", MemoryMegabytes: 1 << 20}, nil, false)
 	step("address", settings.Settings{Name: "b", RepeatSlack: 20, LogLevel: "debug"}, nil, true)
 	golden.Check(t, "reload", out.String())
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"cassiarack.example/lib/hangup"
 	"cassiarack.example/lib/kernel"
@@ -31,6 +32,7 @@
 	"cassiarack.example/sidecar/publication"
 	"cassiarack.example/sidecar/relay"
 	"cassiarack.example/sidecar/settings"
+	"cassiarack.example/sidecar/transfer"
 )
 
 const (
@@ -38,10 +40,12 @@
 	// collector begins to run more often. The rest is for stacks and for
 	// buffers of the operating system.
 	memoryLimitShare = 0.7
-	// bodyMemoryShare is the share of the memory limit for the bodies of requests
-	// in flight, and also for those of answers. A body is copied up to twice when
-	// it is passed on.
-	bodyMemoryShare = 0.15
+	// bodyMemoryShare is the share of the memory limit for the bodies of requests and
+	// answers in flight, with the copies that are made of them.
+	bodyMemoryShare = 0.5
+	// largeRequestShare is the share of the memory for bodies that large bodies of
+	// requests may take. All large bodies may take half of it.
+	largeRequestShare = 0.375
 	// maxStoreHead bounds the header of a response of the store in bytes.
 	maxStoreHead = 64 << 10
 	// maxStopMargin and stopMarginPart bound how long before SIGKILL the drain of the
@@ -113,7 +117,7 @@
 	}
 	defer stopTracing()
 	services := append(registrations(s, l, j), kernel.Registration{Name: names.Settings,
-		Needs: []string{names.Journal, names.Relay}, Service: &reloader{Started: s, Read: read, Hangups: hangup.Signals(), Log: logger}})
+		Needs: []string{names.Journal, names.Relay, names.Transfer}, Service: &reloader{Started: s, Read: read, Hangups: hangup.Signals(), Log: logger}})
 	k := &kernel.Kernel{Registrations: services, Log: j.Logger("kernel"), DrainTimeout: drainTimeout(s.StopTimeout)}
 	logger.Info("Started.", "vm", s.Name, "service", s.Service, "callers", s.Callers, "fleet", s.Fleet,
 		"version", version)
@@ -127,10 +131,22 @@
 	return stopTimeout - min(maxStopMargin, time.Duration(stopMarginPart*float64(stopTimeout)))
 }
 
-// bodyPool returns a pool for the bodies of requests or of answers. Without a
-// memory limit in the settings, the pool has none either.
-func bodyPool(s *settings.Settings) *memory.Pool {
-	return &memory.Pool{Limit: int64(bodyMemoryShare * float64(s.MemoryMegabytes) * (1 << 20))}
+// bodyMemory returns the account for the bodies in flight. Without a memory limit in
+// the settings, the account has none either.
+func bodyMemory(s *settings.Settings, scope tally.Scope) *memory.Account {
+	size := func(n int64) string {
+		if n > memory.Large {
+			return "large"
+		}
+		return "small"
+	}
+	return &memory.Account{Limit: bodyMemoryLimit(s), OnRefusal: func(n int64) {
+		scope.Tagged(map[string]string{"size": size(n)}).Counter("memory_refusals").Inc(1)
+	}}
+}
+
+func bodyMemoryLimit(s *settings.Settings) int64 {
+	return int64(bodyMemoryShare * float64(s.MemoryMegabytes) * (1 << 20))
 }
 
 func setMemoryLimit(s *settings.Settings) {
@@ -157,6 +173,8 @@
 	m := metrics.New(s.Name, s.DataCentre)
 	scope := m.Scope()
 	port := s.Fleet.Port()
+	bodies := bodyMemory(s, scope)
+	requests, answers := &memory.Pool{Account: bodies, LargeShare: largeRequestShare}, &memory.Pool{Account: bodies}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	store := &platform.Store{Address: s.Store, HTTP: storeClient(), PageTimeout: publication.PageTimeout, OnCall: func(call string, took time.Duration, err error) {
 		result := "ok"
@@ -176,15 +194,17 @@
 		{Name: names.Publication, Needs: []string{names.Peers, names.Notices}, Service: &publication.Service{
 			Store: store, Self: s.Fleet.Addr(), DataCentre: s.DataCentre, Port: port, Random: random(), Scope: scope,
 			Log: j.Logger("publication")}},
-		{Name: names.Gate, Needs: []string{names.Peers, names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
-			Instance: s.Instance, Answers: bodyPool(s), MinStopTime: ingress.MinDrainTime, Random: random(),
+		{Name: names.Gate, Needs: []string{names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
+			Instance: s.Instance, Answers: answers, MinStopTime: ingress.MinDrainTime, Random: random(),
 			Scope: scope, Log: j.Logger("gate")}},
-		{Name: names.Relay, Needs: []string{names.Peers, names.Notices, names.Publication, names.Gate, names.Journal},
-			Service: &relay.Service{DataCentre: s.DataCentre, Self: s.Fleet.Addr(), Port: port, RepeatRatio: s.RepeatRatio,
+		{Name: names.Transfer, Needs: []string{names.Peers, names.Gate}, Service: &transfer.Service{Self: s.Fleet.Addr(), Port: port,
+			Requests: requests, Answers: answers, Scope: scope, Log: j.Logger("transfer")}},
+		{Name: names.Relay, Needs: []string{names.Notices, names.Publication, names.Transfer, names.Journal},
+			Service: &relay.Service{DataCentre: s.DataCentre, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
-			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: bodyPool(s), Scope: scope,
+			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: requests, Scope: scope,
 				Log: j.Logger("ingress")}},
 		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
 			Ready: l.ready, Metrics: l.metrics, Log: j.Logger("admin")}},
