--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -43,6 +43,8 @@
 	readyPoll = 20 * time.Millisecond
 	// instanceWork is the mean run time of a request.
 	instanceWork = 20 * time.Millisecond
+	// maxBodyBytes is the configured bound of a request's body.
+	maxBodyBytes = 1 << 20
 )
 
 // VM is a simulated VM: a loopback address with an instance and a sidecar.
@@ -85,6 +87,9 @@
 	// DirectStore lets the sidecars reach the store without its proxies, which are
 	// too slow for large pages when the race detector is on.
 	DirectStore bool
+	// MaxBodyBytes is the configured bound of a request's body; zero means
+	// maxBodyBytes.
+	MaxBodyBytes int
 	// Work is the mean run time of a request; zero means instanceWork.
 	Work time.Duration
 	// TraceEndpoint is the URL to which the sidecars send spans; empty means none.
@@ -143,7 +148,7 @@
 func (m *Mesh) Configure(add []route) {
 	m.version += 1 + rand.IntN(3)
 	m.routes = append(m.routes, add...)
-	m.Store.Put("op/config", configDocument(m.version, m.routes, []string{"alpha", "beta"}))
+	m.Store.Put("op/config", configDocument(m.version, m.routes, []string{"alpha", "beta"}, cmp.Or(m.MaxBodyBytes, maxBodyBytes)))
 }
 
 // addVM adds a VM of a service and starts its instance and its proxies, but not its
