Count and log refusals of bodies and void grants

Cause: operators saw neither why a body was refused nor how often a grant was not used.

Change: counters for grants, void grants and bytes by direction, log lines for withdrawn grants and for bodies that the ingress refuses, with Retry-After.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -16,6 +16,7 @@
 
 	"cassiarack.example/lib/link"
 	"cassiarack.example/lib/ring"
+	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
@@ -157,7 +158,7 @@
 				return err
 			}
 			e.closeAfter = true
-			e.answer <- plainTextAnswer(refused.status, refused.Error())
+			e.answer <- c.service.refuseBody(received, platform.AttemptID(head.Header), refused)
 			return nil
 		}
 		go func() {
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -81,6 +81,18 @@
 	return a
 }
 
+// refuseBody returns the response to a request whose body was refused.
+func (s *Service) refuseBody(received time.Time, attempt string, r *refusal) *message.Answer {
+	if s.journal.AllowRequestLine(received, attempt, false) {
+		s.Log.Info("A request was refused.", "request", attempt, "reason", r.Error())
+	}
+	a := plainTextAnswer(r.status, r.Error())
+	if r.status == http.StatusServiceUnavailable {
+		a.Header = platform.RefusalHeader(attempt, retryAfter)
+	}
+	return a
+}
+
 const tracerName = "cassiarack/ingress"
 
 // retryAfter is the Retry-After time of a refusal, after which a sidecar that
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -197,7 +197,7 @@
 		{Name: names.Gate, Needs: []string{names.Notices, names.Publication, names.Journal}, Service: &gate.Service{
 			Instance: s.Instance, Answers: answers, MinStopTime: ingress.MinDrainTime, Random: random(),
 			Scope: scope, Log: j.Logger("gate")}},
-		{Name: names.Transfer, Needs: []string{names.Peers, names.Gate}, Service: &transfer.Service{Self: s.Fleet.Addr(), Port: port,
+		{Name: names.Transfer, Needs: []string{names.Peers, names.Gate, names.Journal}, Service: &transfer.Service{Self: s.Fleet.Addr(), Port: port,
 			Requests: requests, Answers: answers, Scope: scope, Log: j.Logger("transfer")}},
 		{Name: names.Relay, Needs: []string{names.Notices, names.Publication, names.Transfer, names.Journal},
 			Service: &relay.Service{DataCentre: s.DataCentre, RepeatRatio: s.RepeatRatio,
--- a/sidecar/transfer/receive.go
+++ b/sidecar/transfer/receive.go
@@ -64,7 +64,7 @@
 		return x.withdraw(grant, ReasonMemory, err)
 	}
 	if err := x.readBody(ctx, body); err != nil {
-		s.Scope.Counter("transfer_void_grants").Inc(1)
+		s.voidGrants.Inc(1)
 		return x.withdraw(grant, ReasonVoid, err)
 	}
 	if !x.state.Begin() {
@@ -81,8 +81,10 @@
 func (x *receiving) withdraw(grant gate.Grant, reason string, cause error) *wire.RunReply {
 	x.state.End()
 	grant.Withdraw()
-	x.service.Log.Info("A grant was withdrawn.", "request", string(x.request.GetAttempt()), "instance", x.request.GetInstance(),
-		"reason", reason, "bodyBytes", x.size, "after", time.Since(x.began), "err", cause)
+	if now := time.Now(); x.service.journal.AllowRequestLine(now, string(x.request.GetAttempt()), false) {
+		x.service.Log.Info("A grant was withdrawn.", "request", string(x.request.GetAttempt()), "instance", x.request.GetInstance(),
+			"reason", reason, "bodyBytes", x.size, "after", now.Sub(x.began), "err", cause)
+	}
 	return refusal(reason)
 }
 
@@ -94,7 +96,7 @@
 	if err := x.stream.Send(&wire.ExchangeReply{Granted: true}); err != nil {
 		return err
 	}
-	x.service.Scope.Counter("transfer_grants").Inc(1)
+	x.service.grants.Inc(1)
 	for at := 0; at < len(body); {
 		m, err := x.requests.nextUntil(ctx, x.state.Until())
 		if err != nil {
@@ -105,7 +107,7 @@
 			return err
 		}
 		at += copy(body[at:], part)
-		x.service.countBytes("received", len(part))
+		x.service.received.Inc(int64(len(part)))
 	}
 	return nil
 }
@@ -125,7 +127,7 @@
 		if err := x.stream.Send(&wire.ExchangeReply{Part: part}); err != nil {
 			return err
 		}
-		x.service.countBytes("sent", len(part))
+		x.service.sent.Inc(int64(len(part)))
 	}
 	return nil
 }
--- a/sidecar/transfer/send.go
+++ b/sidecar/transfer/send.go
@@ -98,7 +98,7 @@
 			return err
 		}
 		rest = rest[n:]
-		x.service.countBytes("sent", int(n))
+		x.service.sent.Inc(n)
 	}
 	return nil
 }
@@ -141,7 +141,7 @@
 			return nil, err
 		}
 		at += copy(body[at:], m.GetPart())
-		x.service.countBytes("received", len(m.GetPart()))
+		x.service.received.Inc(int64(len(m.GetPart())))
 	}
 	return body, nil
 }
--- a/sidecar/transfer/transfer.go
+++ b/sidecar/transfer/transfer.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
@@ -36,7 +37,7 @@
 	bufferedParts = 2
 	// streamMemory is the memory in bytes of the buffers of an exchange on one side:
 	// encoded parts, the buffers of the connection, and decoded parts.
-	streamMemory = 320 << 10
+	streamMemory = 192 << 10
 )
 
 // Reasons for which an exchange is refused.
@@ -65,6 +66,11 @@
 	Mux() drpc.Mux
 }
 
+// Journal limits the number of log lines about requests.
+type Journal interface {
+	AllowRequestLine(now time.Time, attempt string, success bool) bool
+}
+
 // Service offers requests to gates, and serves the offers of other sidecars.
 type Service struct {
 	// Self is the address of this VM.
@@ -80,8 +86,12 @@
 	Scope  tally.Scope
 	Log    *log.Logger
 
-	gate  Gate
-	peers Peers
+	gate    Gate
+	peers   Peers
+	journal Journal
+	// sent and received count the bytes of bodies in parts.
+	sent, received     tally.Counter
+	grants, voidGrants tally.Counter
 }
 
 // Bind implements kernel.Service.
@@ -93,6 +103,9 @@
 	if s.peers, err = kernel.Find[Peers](dir, names.Peers); err != nil {
 		return err
 	}
+	if s.journal, err = kernel.Find[Journal](dir, names.Journal); err != nil {
+		return err
+	}
 	return s.register()
 }
 
@@ -101,6 +114,7 @@
 	if s.Limits == (transfer.Limits{}) {
 		s.Limits = transfer.DefaultLimits
 	}
+	s.countIn(s.Scope)
 	return wire.DRPCRegisterRelay(s.peers.Mux(), server{s})
 }
 
@@ -130,9 +144,13 @@
 	return reply, err
 }
 
-// countBytes counts the bytes of a body that were transferred in parts.
-func (s *Service) countBytes(direction string, n int) {
-	s.Scope.Tagged(map[string]string{"direction": direction}).Counter("transfer_bytes").Inc(int64(n))
+// countIn makes the counters of the service in a scope.
+func (s *Service) countIn(scope tally.Scope) {
+	direction := func(name string) tally.Counter {
+		return scope.Tagged(map[string]string{"direction": name}).Counter("transfer_bytes")
+	}
+	s.sent, s.received = direction("sent"), direction("received")
+	s.grants, s.voidGrants = scope.Counter("transfer_grants"), scope.Counter("transfer_void_grants")
 }
 
 // server serves the offers of other sidecars.
