Leave gates room beside their own clients' bodies

Cause: bodies of a sidecar's own clients could take all memory for large requests, and its gate then refused those of others, on every VM at once. Idle connections kept about 100 KB of buffers on each side after parts of 32 KB. A request with a large body failed at a sidecar without Relay.Exchange.

Change: large bodies of clients take at most 0.3 of the account, with those at the gate 0.4, with answers half. Parts have 16 KB, and an exchange counts 96 KB for its buffers. A body goes whole to a sidecar that has no exchanges.

--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -43,9 +43,12 @@
 	// bodyMemoryShare is the share of the memory limit for the bodies of requests and
 	// answers in flight, with the copies that are made of them.
 	bodyMemoryShare = 0.5
-	// largeRequestShare is the share of the memory for bodies that large bodies of
-	// requests may take. All large bodies may take half of it.
-	largeRequestShare = 0.375
+	// clientShare and gateShare are the shares of the memory for bodies up to which
+	// large bodies of requests are accepted, from clients and from other sidecars; all
+	// large bodies may take half. A gate with no room beside the bodies of its own
+	// clients would refuse those of others, and so each sidecar all others.
+	clientShare = 0.3
+	gateShare   = 0.4
 	// maxStoreHead bounds the header of a response of the store in bytes.
 	maxStoreHead = 64 << 10
 	// maxStopMargin and stopMarginPart bound how long before SIGKILL the drain of the
@@ -174,7 +177,7 @@
 	scope := m.Scope()
 	port := s.Fleet.Port()
 	bodies := bodyMemory(s, scope)
-	requests, answers := &memory.Pool{Account: bodies, LargeShare: largeRequestShare}, &memory.Pool{Account: bodies}
+	answers := &memory.Pool{Account: bodies}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	store := &platform.Store{Address: s.Store, HTTP: storeClient(), PageTimeout: publication.PageTimeout, OnCall: func(call string, took time.Duration, err error) {
 		result := "ok"
@@ -198,13 +201,13 @@
 			Instance: s.Instance, Answers: answers, MinStopTime: ingress.MinDrainTime, Random: random(),
 			Scope: scope, Log: j.Logger("gate")}},
 		{Name: names.Transfer, Needs: []string{names.Peers, names.Gate, names.Journal}, Service: &transfer.Service{Self: s.Fleet.Addr(), Port: port,
-			Requests: requests, Answers: answers, Scope: scope, Log: j.Logger("transfer")}},
+			Requests: &memory.Pool{Account: bodies, LargeShare: gateShare}, Answers: answers, Scope: scope, Log: j.Logger("transfer")}},
 		{Name: names.Relay, Needs: []string{names.Notices, names.Publication, names.Transfer, names.Journal},
 			Service: &relay.Service{DataCentre: s.DataCentre, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
 		{Name: names.Ingress, Needs: []string{names.Publication, names.Relay, names.Gate, names.Journal},
-			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: requests, Scope: scope,
+			Service: &ingress.Service{Listener: l.callers, CallerService: s.Service, Bodies: &memory.Pool{Account: bodies, LargeShare: clientShare}, Scope: scope,
 				Log: j.Logger("ingress")}},
 		{Name: names.Admin, Needs: []string{names.Ingress, names.Metrics, names.Journal}, Service: &admin.Service{
 			Ready: l.ready, Metrics: l.metrics, Log: j.Logger("admin")}},
--- a/sidecar/transfer/errors.go
+++ b/sidecar/transfer/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"cassiarack.example/lib/service/peers"
 )
@@ -51,6 +52,12 @@
 	return errors.As(err, &e) && e.Granted
 }
 
+// isUnknownCall reports whether the other sidecar has no exchanges. The text is that
+// of drpc, which has no code for it.
+func isUnknownCall(err error) bool {
+	return err != nil && !Reached(err) && NotSent(err) && strings.Contains(err.Error(), "unknown rpc")
+}
+
 var (
 	errProtocol   = errors.New("message does not fit the exchange")
 	errAnswerSize = errors.New("size of the answer's body is invalid")
--- a/sidecar/transfer/transfer.go
+++ b/sidecar/transfer/transfer.go
@@ -31,13 +31,14 @@
 	// maxWholeAnswer is the size in bytes up to which the body of an answer travels
 	// with the reply of an exchange.
 	maxWholeAnswer = 64 << 10
-	// partSize is the largest size of a part of a body in bytes.
-	partSize = 32 << 10
+	// partSize is the largest size of a part of a body in bytes. A connection keeps
+	// buffers of about four parts on each side while it is idle.
+	partSize = 16 << 10
 	// bufferedParts is the number of received parts that wait to be taken.
 	bufferedParts = 2
 	// streamMemory is the memory in bytes of the buffers of an exchange on one side:
 	// encoded parts, the buffers of the connection, and decoded parts.
-	streamMemory = 192 << 10
+	streamMemory = 96 << 10
 )
 
 // Reasons for which an exchange is refused.
@@ -135,11 +136,15 @@
 	if vm == s.Self {
 		return s.gate.Offer(ctx, r, answer), nil
 	}
-	conn := s.peers.Conn(ctx, netip.AddrPortFrom(vm, s.Port))
+	client := wire.NewDRPCRelayClient(s.peers.Conn(ctx, netip.AddrPortFrom(vm, s.Port)))
 	if len(r.GetBody()) > maxWhole {
-		return s.send(ctx, wire.NewDRPCRelayClient(conn), r, answer)
+		reply, err := s.send(ctx, client, r, answer)
+		if !isUnknownCall(err) {
+			return reply, err
+		}
+		// A sidecar of an earlier version takes whole bodies only.
 	}
-	reply, err := wire.NewDRPCRelayClient(conn).Offer(ctx, r)
+	reply, err := client.Offer(ctx, r)
 	answer.Add(int64(len(reply.GetBody())))
 	return reply, err
 }
--- a/sidecar/transfer/transfer_test.go
+++ b/sidecar/transfer/transfer_test.go
@@ -173,7 +173,7 @@
 	g := &fakeGate{}
 	entry, target := startNode(t, nil, nil), startNode(t, g, nil)
 	var b strings.Builder
-	for _, size := range []int{0, 300, maxWhole, maxWhole + 1, partSize, 64 << 10, 1<<20 + 7, 6 << 20} {
+	for _, size := range []int{0, 300, maxWhole, maxWhole + 1, 32 << 10, 64 << 10, 1<<20 + 7, 6 << 20} {
 		for _, answer := range []int{0, 400, maxWholeAnswer, maxWholeAnswer + 1, 3 << 20} {
 			g.answerBytes, g.offered = answer, nil
 			reply, err := entry.offer(t.Context(), target, size)
@@ -224,6 +224,28 @@
 	target.awaitFree(t)
 }
 
+// earlierVersion describes a sidecar without exchanges.
+type earlierVersion struct{ wire.DRPCRelayDescription }
+
+func (earlierVersion) NumMethods() int { return 1 }
+
+// TestEarlierVersion guards against requests with large bodies that fail during an
+// upgrade, when some sidecars have no exchanges yet.
+func TestEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	entry, target := startNode(t, nil, nil), startNode(t, nil, nil)
+	g := &fakeGate{answerBytes: 10, answers: target.Answers}
+	target.gate = g
+	is.NoErr(target.peers.Mux().Register(server{target.Service}, earlierVersion{}))
+	for range 2 {
+		reply, err := entry.offer(t.Context(), target, 1<<20)
+		is.NoErr(err)
+		is.Equal(len(reply.GetBody()), 10)
+	}
+	is.Equal(g.offered, []int{1 << 20, 1 << 20})
+	target.awaitFree(t)
+}
+
 // rawExchange opens an exchange with a node by hand and sends its head.
 func rawExchange(t *testing.T, to *node, size int64) (wire.DRPCRelay_ExchangeClient, net.Conn) {
 	t.Helper()
