--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -83,9 +83,15 @@
 // startIngress runs an ingress and returns it with its fake services, its
 // address and a function that starts a shutdown.
 func startIngress(t *testing.T) (*Service, *fakeServices, string, context.CancelFunc) {
+	t.Helper()
+	return startIngressWith(t, routing.Limits{HeaderBytes: 512, BodyBytes: 64})
+}
+
+// startIngressWith is like startIngress, with other limits.
+func startIngressWith(t *testing.T, limits routing.Limits) (*Service, *fakeServices, string, context.CancelFunc) {
 	t.Helper()
 	f := &fakeServices{cancelled: make(chan string, 10), state: &publication.State{Table: routing.Compile(&routing.Configuration{
-		Version: 1, Limits: routing.Limits{HeaderBytes: 512, BodyBytes: 64},
+		Version: 1, Limits: limits,
 		Routes: []routing.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Timeout: 5 * time.Second,
 			Destinations: []routing.Destination{{Service: "s", Weight: 1}}}}})}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -441,3 +447,37 @@
 	is.Equal(s.Bodies.Account.Used(), int64(0))
 	is.Equal(len(f.requests), 1) // the refused requests were not forwarded
 }
+
+// TestLargeBodyRefused guards against a client that is asked for a large body that does
+// not fit, against a refusal that does not say when to come back, and against a full
+// memory for large bodies that stops small ones.
+func TestLargeBodyRefused(t *testing.T) {
+	is := is.New(t)
+	s, f, address, _ := startIngressWith(t, routing.Limits{HeaderBytes: 512, BodyBytes: 1 << 20})
+	s.Bodies.Account.SetLimit(1 << 20)
+	s.Bodies.LargeShare = 0.1
+	post := func(size int, send bool) *http.Response {
+		t.Helper()
+		c := dial(t, address)
+		_, err := fmt.Fprintf(c, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", size)
+		is.NoErr(err)
+		if send {
+			_, err = c.Write(make([]byte, size))
+			is.NoErr(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		return resp
+	}
+	resp := post(110<<10, false)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // nothing was read
+	is.True(resp.Header.Get("Retry-After") != "")
+	is.Equal(post(100<<10, true).StatusCode, http.StatusContinue)
+	is.Equal(post(60<<10, true).StatusCode, http.StatusContinue)
+	for s.Bodies.Account.Used() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(len(f.requests), 2)
+}
--- a/sidecar/transfer/transfer_test.go
+++ b/sidecar/transfer/transfer_test.go
@@ -43,6 +43,8 @@
 	// answerBytes is the size of the answers.
 	answerBytes int
 	answers     *memory.Pool
+	// blocks makes a run last until its context ends.
+	blocks bool
 	// unchecked leaves out the check of bodies.
 	unchecked bool
 	// offered has the sizes of bodies that came with their offers, run those of all
@@ -65,10 +67,14 @@
 	return g, nil
 }
 
-func (g *fakeGate) Run(_ context.Context, body []byte, answer *memory.Hold) *wire.RunReply {
+func (g *fakeGate) Run(ctx context.Context, body []byte, answer *memory.Hold) *wire.RunReply {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.run = append(g.run, len(body))
+	g.mu.Unlock()
+	if g.blocks {
+		<-ctx.Done()
+		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_UNKNOWN, Reason: "cancelled"}
+	}
 	if !g.unchecked && !bytes.Equal(body, pattern(len(body))) {
 		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_UNKNOWN, Reason: "body changed"}
 	}
@@ -469,3 +475,23 @@
 	cancel()
 	offers.Wait()
 }
+
+// TestClientLeavesRun guards against a run that goes on, and holds its memory, when the
+// client leaves after the last part, and against a claim that it did not run.
+func TestClientLeavesRun(t *testing.T) {
+	is := is.New(t)
+	g := &fakeGate{blocks: true}
+	entry, target := startNode(t, nil, nil), startNode(t, g, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for runs, _ := g.counts(); runs == 0; runs, _ = g.counts() {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := entry.offer(ctx, target, 1<<20)
+	is.True(err != nil)
+	is.True(!NotSent(err))
+	target.awaitFree(t)
+	entry.awaitFree(t)
+}
