--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"strings"
 	"time"
 
@@ -219,7 +220,7 @@
 		return nil, err
 	}
 	if err = c.sendContinue(r); err == nil {
-		_, err = io.ReadFull(c.reader, body)
+		err = c.fill(body)
 	}
 	if err != nil {
 		c.service.Bodies.Release(body)
@@ -228,6 +229,30 @@
 	return body, nil
 }
 
+// fill reads a body of known size. A large one, whose memory others wait for, is refused
+// if nothing of it arrives for as long as a header may take.
+func (c *conn) fill(body []byte) error {
+	if len(body) <= memory.Large {
+		_, err := io.ReadFull(c.reader, body)
+		return err
+	}
+	limit := c.service.limits().HeaderTimeout
+	for at := 0; at < len(body); {
+		if err := c.net.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return err
+		}
+		n, err := c.reader.Read(body[at:])
+		at += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return &refusal{http.StatusRequestTimeout, "not run: the body took too long"}
+		}
+		if err != nil && at < len(body) {
+			return err
+		}
+	}
+	return c.net.SetReadDeadline(time.Time{})
+}
+
 // sendContinue asks a client that waits for it to send its body.
 func (c *conn) sendContinue(r *http.Request) error {
 	if !strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
