--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -68,6 +68,9 @@
 	// in which it was counted as demand.
 	Again bool
 
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
+
 	// promoted is set if far fewer requests of this organisation or kind were admitted
 	// recently than of all. light is set if the organisation used little of the slots.
 	promoted, light bool
@@ -96,11 +99,18 @@
 type Queue[T comparable] struct {
 	// Slots is the number of requests that may run concurrently.
 	Slots int
+	// MaxBodyBytes bounds the bytes of the bodies that the instance has at one time. A
+	// request whose body does not fit waits like one without a slot. Zero means no
+	// bound.
+	MaxBodyBytes int64
 
-	running  map[T]run
-	waiting  []Entry[T]
-	shares   shares
-	runTimes map[string]time.Duration
+	running map[T]run
+	// bodyBytes is the number of bytes of the running requests that count towards
+	// MaxBodyBytes.
+	bodyBytes int64
+	waiting   []Entry[T]
+	shares    shares
+	runTimes  map[string]time.Duration
 	// observations is the number of observed run times of each route.
 	observations map[string]int
 }
@@ -133,7 +143,7 @@
 // otherwise it waits if reason is empty, and is refused if it is not.
 func (q *Queue[T]) Offer(now time.Time, r Request, v T) (start bool, reason Reason) {
 	q.shares.request(now, &r)
-	if len(q.running) < q.Slots && len(q.waiting) == 0 {
+	if len(q.running) < q.Slots && q.fits(r) && (len(q.waiting) == 0 || q.passes(now, r)) {
 		if !q.canStart(now, r) {
 			return false, ReasonExpired
 		}
@@ -157,6 +167,7 @@
 	}
 	expected := q.ExpectedRunTime(r.Route)
 	q.running[v] = run{Request: r, startedAt: now, expected: expected}
+	q.bodyBytes += countedBytes(r.BodyBytes)
 	q.shares.begin(now, r, expected)
 }
 
@@ -261,11 +272,14 @@
 	if len(q.running) >= q.Slots || len(q.waiting) == 0 {
 		return next, false, expired
 	}
-	best, first := 0, q.position(now, q.waiting[0].Request)
-	for i := range q.waiting {
-		if p := q.position(now, q.waiting[i].Request); p.before(first) {
-			best, first = i, p
-		}
+	best := q.first(now, anyRequest)
+	if !q.fits(q.waiting[best].Request) {
+		// Only small bodies pass a body that does not fit, so that it gets the room
+		// that others leave.
+		best = q.first(now, isSmall)
+	}
+	if best < 0 {
+		return next, false, expired
 	}
 	next = q.waiting[best]
 	q.waiting = slices.Delete(q.waiting, best, best+1)
@@ -273,6 +287,22 @@
 	return next, true, expired
 }
 
+// first returns the index of the first of the waiting requests that may start, or -1
+// if there is none.
+func (q *Queue[T]) first(now time.Time, mayStart func(Request) bool) int {
+	best := -1
+	var first position
+	for i := range q.waiting {
+		if !mayStart(q.waiting[i].Request) {
+			continue
+		}
+		if p := q.position(now, q.waiting[i].Request); best < 0 || p.before(first) {
+			best, first = i, p
+		}
+	}
+	return best
+}
+
 // Finish frees the slot of a request whose answer took the time ran. A time of
 // zero or less is not counted as an observation.
 func (q *Queue[T]) Finish(now time.Time, v T, ran time.Duration) {
@@ -281,6 +311,7 @@
 		return
 	}
 	delete(q.running, v)
+	q.bodyBytes -= countedBytes(r.BodyBytes)
 	q.shares.end(now, r)
 	if ran <= 0 {
 		return
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -25,7 +25,6 @@
 	"cassiarack.example/lib/decision/spread"
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
-	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
 	"cassiarack.example/sidecar/journal"
@@ -45,6 +44,9 @@
 	// defaultSlots is the number of slots until the instance's entry is published.
 	defaultSlots    = 2
 	commandCapacity = 1024
+	// maxInstanceBodies bounds the bytes of the bodies that the instance has at one
+	// time. An instance fails when the requests that it holds exceed its memory.
+	maxInstanceBodies = 16 << 20
 	// leaveNoticeCount is the number of notices that announce a stop. More than one
 	// is sent because datagrams may be lost.
 	leaveNoticeCount = 2
@@ -54,7 +56,8 @@
 type Service struct {
 	// Instance is the address of the instance.
 	Instance netip.AddrPort
-	// Answers is the pool for the bodies of the instance's answers.
+	// Answers is the pool for the bodies of the instance's answers. The holds that
+	// callers pass belong to the same account.
 	Answers *memory.Pool
 	// MinStopTime is the shortest time from the start of a shutdown to the end of
 	// the process. The gate admits requests for most of it.
@@ -100,6 +103,8 @@
 // job is a request that waits or runs at the gate.
 type job struct {
 	request *wire.RunRequest
+	// bodyBytes is the size of the request's body.
+	bodyBytes int64
 	// decision receives exactly one value: the reason of a refusal, or an empty
 	// reason if the request is admitted.
 	decision chan admission.Reason
@@ -121,15 +126,11 @@
 	if s.journal, err = kernel.Find[*journal.Service](dir, names.Journal); err != nil {
 		return err
 	}
-	p, err := kernel.Find[*peers.Service](dir, names.Peers)
-	if err != nil {
-		return err
-	}
 	opened := s.Scope.Counter("instance_connections_opened")
 	s.client = &backend.Client{Address: s.Instance, OnOpen: func() { opened.Inc(1) }, Memory: s.Answers}
 	s.commands, s.stopped = ring.New[func(time.Time)](commandCapacity), make(chan struct{})
 	s.filter.Model = belief.DefaultModel
-	s.queue.Slots = defaultSlots
+	s.queue.Slots, s.queue.MaxBodyBytes = defaultSlots, maxInstanceBodies
 	s.publication.Watch(func() {
 		// If the ring is full, the next request or published change applies the
 		// publication instead.
@@ -137,7 +138,7 @@
 			s.Log.Debug("A published change has not been applied yet.", "err", err)
 		}
 	})
-	return wire.DRPCRegisterRelay(p.Mux(), s)
+	return nil
 }
 
 // Run implements kernel.Service.
@@ -231,7 +232,7 @@
 		j.decision <- reason
 		return
 	}
-	start, reason := s.queue.Offer(now, admissionRequest(now, r), j)
+	start, reason := s.queue.Offer(now, admissionRequest(now, j), j)
 	switch {
 	case reason != "":
 		if reason == admission.ReasonFull && r.GetAcceptance() == wire.Acceptance_ACCEPTANCE_ANY {
@@ -248,11 +249,12 @@
 
 // admissionRequest returns the properties of a request offered at now that decide
 // when it runs.
-func admissionRequest(now time.Time, r *wire.RunRequest) admission.Request {
+func admissionRequest(now time.Time, j *job) admission.Request {
+	r := j.request
 	return admission.Request{
 		Route: r.GetRoute(), Priority: int(r.GetPriority()),
 		Target: now.Add(time.Duration(r.GetRemainingTarget())), Deadline: now.Add(time.Duration(r.GetRemaining())),
-		MaxWait: time.Duration(r.GetPatience()), Organisation: string(r.GetOrganisation()),
+		MaxWait: time.Duration(r.GetPatience()), BodyBytes: j.bodyBytes, Organisation: string(r.GetOrganisation()),
 		OrganisationPriority: int(r.GetOrganisationPriority()),
 		Nested:               r.GetWithoutOrganisation() && len(r.GetOrganisation()) == 0,
 		Again:                r.GetAcceptance() == wire.Acceptance_ACCEPTANCE_ANY,
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -14,16 +14,18 @@
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/tracing"
 	"cassiarack.example/platform"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
 
 // handle returns the response to one request and records a trace span for it.
-func (s *Service) handle(ctx context.Context, head *http.Request, body []byte, received time.Time) *message.Answer {
+func (s *Service) handle(ctx context.Context, head *http.Request, body []byte, answerMemory *memory.Hold,
+	received time.Time) *message.Answer {
 	attempt := platform.AttemptID(head.Header)
 	ctx, span := otel.Tracer(tracerName).Start(tracing.WithTraceParent(ctx, head.Header.Get(tracing.Header)), "request",
 		trace.WithTimestamp(received), trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	a := s.answer(ctx, attempt, head, body, received)
+	a := s.answer(ctx, attempt, head, body, answerMemory, received)
 	if span.IsRecording() {
 		span.SetAttributes(tracing.String("request", attempt), tracing.String("host", head.Host),
 			attribute.Int("status", a.Status), attribute.Bool("own", a.FromFleet))
@@ -35,7 +37,7 @@
 // of the relay. Requests without a configuration, a route or a required key, and those
 // that arrive too late in a shutdown, are refused.
 func (s *Service) answer(ctx context.Context, attempt string, head *http.Request, body []byte,
-	received time.Time) *message.Answer {
+	answerMemory *memory.Hold, received time.Time) *message.Answer {
 	table := s.publication.State().Table
 	if table == nil {
 		if s.journal.AllowRequestLine(received, attempt, false) {
@@ -75,7 +77,7 @@
 	}
 	a := s.serveWithinLimit(ctx, &message.Request{
 		Attempt: attempt, Method: head.Method, Target: target, Host: head.Host,
-		Header: platform.RequestHeader(head.Header, s.sender(table, caller)), Body: body,
+		Header: platform.RequestHeader(head.Header, s.sender(table, caller)), Body: body, AnswerMemory: answerMemory,
 		Organisation: caller, HasOrganisations: table.Register != nil, Route: route, ConfigVersion: table.Configuration.Version, Service: s.chooseService(table, route),
 		Received: received, Deadline: s.deadlineInStop(deadline), TargetTime: received.Add(route.TargetLatency),
 	})
@@ -120,6 +122,18 @@
 	return a
 }
 
+// refuseBody returns the response to a request whose body was refused.
+func (s *Service) refuseBody(received time.Time, attempt string, r *refusal) *message.Answer {
+	if s.journal.AllowRequestLine(received, attempt, false) {
+		s.Log.Info("A request was refused.", "request", attempt, "reason", r.Error())
+	}
+	a := plainTextAnswer(r.status, r.Error())
+	if r.status == http.StatusServiceUnavailable {
+		a.Header = platform.RefusalHeader(attempt, retryAfter)
+	}
+	return a
+}
+
 const tracerName = "cassiarack/ingress"
 
 // retryAfter is the Retry-After time of a refusal, after which a sidecar that
--- a/sidecar/names/names.go
+++ b/sidecar/names/names.go
@@ -13,6 +13,7 @@
 	Limiter        = "limiter"
 	Gate           = "gate"
 	Room           = "room"
+	Transfer       = "transfer"
 	Relay          = "relay"
 	Ingress        = "ingress"
 	Admin          = "admin"
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -43,6 +43,8 @@
 	readyPoll = 20 * time.Millisecond
 	// instanceWork is the mean run time of a request.
 	instanceWork = 20 * time.Millisecond
+	// maxBodyBytes is the configured bound of a request's body.
+	maxBodyBytes = 1 << 20
 )
 
 // VM is a simulated VM: a loopback address with an instance and a sidecar.
@@ -85,6 +87,9 @@
 	// DirectStore lets the sidecars reach the store without its proxies, which are
 	// too slow for large pages when the race detector is on.
 	DirectStore bool
+	// MaxBodyBytes is the configured bound of a request's body; zero means
+	// maxBodyBytes.
+	MaxBodyBytes int
 	// Work is the mean run time of a request; zero means instanceWork.
 	Work time.Duration
 	// Organisations are published with the configuration; PublicRoutes are the names of
