--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -83,6 +83,8 @@
 type Service struct {
 	// DataCentre is the data centre of this VM.
 	DataCentre string
+	// OwnService is the service of the instance on this VM.
+	OwnService string
 	// RepeatRatio, RepeatSlack and RepeatWindow define the budget for repeats that
 	// all sidecars share: in any window, repeats are limited to the ratio times the
 	// number of requests, plus the slack.
@@ -299,6 +301,10 @@
 func (s *Service) recordRequest(now time.Time, r *message.Request) {
 	b := s.budget(r.Service)
 	b.RecordRequest(now)
+	// Instances call other services than their own.
+	if r.Service == s.OwnService {
+		return
+	}
 	if share := s.ownGate.RepeatShare(); share > 0 {
 		b.Charge(now, share)
 	}
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -241,6 +241,11 @@
 		s.Serve(t.Context(), request(true))
 	}
 	is.Equal(remaining(), before-2)
+	s.OwnService = "s"
+	for range 4 {
+		s.Serve(t.Context(), request(true))
+	}
+	is.Equal(remaining(), before-2) // an instance does not call its own service
 }
 
 // TestOrganisation guards against offers that name no organisation, or that count
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -211,7 +211,7 @@
 		{Name: names.Transfer, Needs: []string{names.Peers, names.Gate, names.Journal}, Service: &transfer.Service{Self: s.Fleet.Addr(), Port: port,
 			Requests: &memory.Pool{Account: bodies, LargeShare: gateShare}, Answers: answers, Scope: scope, Log: j.Logger("transfer")}},
 		{Name: names.Relay, Needs: []string{names.Notices, names.Publication, names.Gate, names.Transfer, names.Room, names.Journal},
-			Service: &relay.Service{DataCentre: s.DataCentre, RepeatRatio: s.RepeatRatio,
+			Service: &relay.Service{DataCentre: s.DataCentre, OwnService: s.Service, RepeatRatio: s.RepeatRatio,
 				RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow, Random: random(), Scope: scope,
 				Log: j.Logger("relay")}},
 		{Name: names.Authentication, Needs: []string{names.Publication, names.Journal}, Service: &authentication.Service{
