--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -231,17 +231,17 @@
 }
 
 // before reports whether a request at a is started before one at b: requests that are
-// on time come first, then nested ones, promoted ones, those of the more urgent
+// on time come first, then promoted ones, nested ones, those of the more urgent
 // organisation, of the more urgent route, of the organisation that used less of the
 // slots, and last those with the earlier target.
 func (a position) before(b position) bool {
 	switch {
 	case a.onTime != b.onTime:
 		return a.onTime
-	case a.nested != b.nested:
-		return a.nested
 	case a.promoted != b.promoted:
 		return a.promoted
+	case a.nested != b.nested:
+		return a.nested
 	case a.organisationPriority != b.organisationPriority:
 		return a.organisationPriority < b.organisationPriority
 	case a.priority != b.priority:
--- a/lib/decision/admission/shares_test.go
+++ b/lib/decision/admission/shares_test.go
@@ -79,3 +79,59 @@
 		t.Errorf("%.3f of the less urgent requests are served, want at least a quarter of %.3f", got, all)
 	}
 }
+
+// TestFloodOfPublicRequests guards against an organisation that is starved by requests
+// without an organisation. Calls of instances cannot be told from requests of public
+// routes, so either may exceed the room. It fails if nested requests go before
+// promoted ones.
+func TestFloodOfPublicRequests(t *testing.T) {
+	const (
+		slots   = 3
+		runTime = 100 * ms
+		length  = 60 * time.Second
+	)
+	q := Queue[int]{Slots: slots}
+	offered, served := map[string]int{}, map[string]int{}
+	names, ends := map[int]string{}, map[int]time.Time{}
+	id := 0
+	offer := func(now time.Time, r Request, name string) {
+		id++
+		offered[name]++
+		r.Route, r.Target, r.Deadline, r.MaxWait = "r", now.Add(time.Second), now.Add(4*time.Second), 500*ms
+		names[id] = name
+		if started, _ := q.Offer(now, r, id); started {
+			ends[id] = now.Add(runTime)
+		}
+	}
+	for step := time.Duration(0); step < length; step += 2 * ms {
+		now := start.Add(step)
+		for i, at := range ends {
+			if !at.After(now) {
+				q.Finish(now, i, runTime)
+				delete(ends, i)
+				served[names[i]]++
+			}
+		}
+		if step%(10*ms) == 0 {
+			offer(now, Request{Nested: true}, "without an organisation")
+		}
+		if step%(66*ms) == 0 {
+			offer(now, Request{Organisation: "a", OrganisationPriority: 1, Priority: 1}, "organisation")
+		}
+		for {
+			next, started, _ := q.Next(now)
+			if !started {
+				break
+			}
+			ends[next.Value] = now.Add(runTime)
+		}
+	}
+	part := func(name string) float64 { return float64(served[name]) / float64(offered[name]) }
+	all := float64(served["organisation"]+served["without an organisation"]) /
+		float64(offered["organisation"]+offered["without an organisation"])
+	if part("organisation") < all/4 {
+		t.Errorf("the organisation is served %.3f, all %.3f", part("organisation"), all)
+	}
+	golden.Check(t, "flood", fmt.Sprintf("organisation %.2f, without an organisation %.2f, all %.2f\n", part("organisation"),
+		part("without an organisation"), all))
+}
