Test doubtful instances whatever calls of repeats are charged

Cause: an instance that has recovered gets requests again only after a test, and tests need room in the budget for repeats. By the hypothesis; a trace of the missing tests is not made.

Change: charges count for repeats, not for tests.

--- a/lib/decision/retry/window.go
+++ b/lib/decision/retry/window.go
@@ -16,7 +16,9 @@
 
 	repeats  []time.Time
 	requests []time.Time
-	// charged is the part of a repeat that Charge has not counted yet.
+	// charges holds the repeats that Charge counted, and charged the part of one that it
+	// has not counted yet.
+	charges []time.Time
 	charged float64
 	// asked holds when each organisation last asked for a repeat, and taken the
 	// repeats that it took. Both hold only organisations that asked within Length.
@@ -36,6 +38,12 @@
 // Remaining returns the number of repeats that the budget still allows, which
 // may be fractional or negative. slack is the node's part of the constant.
 func (w *WindowBudget) Remaining(now time.Time, slack float64) float64 {
+	w.charges = dropBefore(w.charges, now.Add(-w.Length))
+	return w.Uncharged(now, slack) - float64(len(w.charges))
+}
+
+// Uncharged is like Remaining, without what Charge counted.
+func (w *WindowBudget) Uncharged(now time.Time, slack float64) float64 {
 	start := now.Add(-w.Length)
 	w.repeats, w.requests = dropBefore(w.repeats, start), dropBefore(w.requests, start)
 	if w.Started.After(start) {
@@ -60,7 +68,7 @@
 func (w *WindowBudget) Charge(now time.Time, probability float64) {
 	if w.charged += probability; w.charged >= 1 {
 		w.charged--
-		w.repeats = append(dropBefore(w.repeats, now.Add(-w.Length)), now)
+		w.charges = append(dropBefore(w.charges, now.Add(-w.Length)), now)
 	}
 }
 
@@ -70,7 +78,7 @@
 func (w *WindowBudget) AllowShare(now time.Time, slack float64, organisation string) bool {
 	w.recordAsk(now, organisation)
 	if n := len(w.asked); n > 1 {
-		budget := w.Remaining(now, slack) + float64(len(w.repeats))
+		budget := w.Uncharged(now, slack) + float64(len(w.repeats))
 		if float64(len(w.taken[organisation])+1) > max(1, maxShares*budget/float64(n)) {
 			return false
 		}
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -364,8 +364,10 @@
 }
 
 // mayTest reports whether a request may test a doubtful instance: its route must
-// allow tests, and the budget must still allow testReserve repeats.
+// allow tests, and the budget must still allow testReserve repeats. Charges for calls
+// of repeated runs do not count here: without tests, instances that have recovered get
+// no requests.
 func (s *Service) mayTest(now time.Time, r *message.Request) bool {
 	t := s.publication.State().Table
-	return t != nil && t.MayTest(r.Route, r.Service) && s.budget(r.Service).Remaining(now, s.slack()) >= testReserve
+	return t != nil && t.MayTest(r.Route, r.Service) && s.budget(r.Service).Uncharged(now, s.slack()) >= testReserve
 }
