Limit log lines of refusals by the time of day

The service for authentication passed the time since the start of the VM to the

years since 1970 at each change, so that the number of lines had no bound.

--- a/sidecar/authentication/authentication.go
+++ b/sidecar/authentication/authentication.go
@@ -211,10 +211,11 @@
 
 // logRefusal logs why a request is refused.
 func (s *Service) logRefusal(x *examination, reason string) {
-	now := s.Now()
-	if !s.journal.AllowRequestLine(now, x.attempt, false) {
+	// The journal limits lines by the time of day, as for all other callers.
+	if !s.journal.AllowRequestLine(time.Now(), x.attempt, false) {
 		return
 	}
+	now := s.Now()
 	age := time.Duration(-1)
 	if !x.proof.ProvedAt.IsZero() {
 		age = now.Sub(x.proof.ProvedAt)
--- a/sidecar/authentication/authentication_test.go
+++ b/sidecar/authentication/authentication_test.go
@@ -30,6 +30,8 @@
 	state   *publication.State
 	proof   freshness.Proof
 	changed chan struct{}
+	// lineAt is the time of the last line that the journal was asked about.
+	lineAt time.Time
 	// keyRevocation is the age up to which keys are accepted; zero means any age.
 	keyRevocation time.Duration
 }
@@ -58,7 +60,12 @@
 	return f.changed
 }
 
-func (f *fakePublication) AllowRequestLine(time.Time, string, bool) bool { return true }
+func (f *fakePublication) AllowRequestLine(now time.Time, _ string, _ bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lineAt = now
+	return true
+}
 
 // publish puts a configuration in force whose only organisation has the given keys.
 func (f *fakePublication) publish(version uint64, keys ...string) {
@@ -172,6 +179,19 @@
 	golden.Check(t, "unknown", b.String())
 }
 
+// TestLineTime guards against lines that the journal counts by the boot clock. Its limit
+// would refill by the years since 1970 when another service writes a line.
+func TestLineTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, f, _ := start(0)
+		offset := time.Since(time.Unix(0, 0))
+		s.Now = func() time.Time { return time.Now().Add(-offset) }
+		ask(t.Context(), s, "", false)
+		is.Equal(f.lineAt, time.Now())
+	})
+}
+
 // TestWaiting guards against unknown keys that hold more than maxWaiting requests, also
 // after some of their clients left, and against known keys that are refused meanwhile.
 func TestWaiting(t *testing.T) {
