Grant no credit for the time before the first list of VMs

A Membership counted as known since the start of the process, although its first list may come much later, when other VMs are the ledgers. The credit of that time was then granted. Credit now accrues from the first list on.

The tests set the time of the first list where they set the start. The time that TestMembership checks was the start before.

--- a/lib/decision/ratelimit/fleet_test.go
+++ b/lib/decision/ratelimit/fleet_test.go
@@ -110,24 +110,24 @@
 
 // boot starts the process of a VM, which knows nothing of an earlier one.
 func (f *fleet) boot(v *vm) {
-	started := f.now
-	if f.off.startsFull {
-		started = started.Add(-time.Hour)
-	}
 	v.down, v.ticking = false, false
-	v.membership = NewMembership(v.address, started)
+	v.membership = NewMembership(v.address)
 	if f.off.noSettling {
 		v.membership.settle = 0
 	}
-	v.membership.Update(f.now, f.list)
+	first := f.now
+	if f.off.startsFull {
+		first = first.Add(-time.Hour)
+	}
+	v.membership.Update(first, f.list)
 	v.entry = &Entry[*arrival]{Self: v.address, Shares: fieldShares, Membership: v.membership, FirstNonce: f.rng.Uint64()}
 	if f.off.noExpiry {
 		v.entry.validity = time.Hour
 	}
 	v.ledger = &Ledger{Shares: fieldShares, Membership: v.membership}
 	if f.off.grantsAlways {
-		v.ledger.Membership = NewMembership(v.address, started)
-		v.ledger.Membership.Update(f.now, []netip.Addr{v.address})
+		v.ledger.Membership = NewMembership(v.address)
+		v.ledger.Membership.Update(first, []netip.Addr{v.address})
 	}
 }
 
--- a/lib/decision/ratelimit/ledger.go
+++ b/lib/decision/ratelimit/ledger.go
@@ -41,11 +41,11 @@
 }
 
 // newBucket returns the bucket of an organisation of which the node is a ledger since a
-// time. A node that has become one later than its process started begins without
+// time. A node that has become one later than it got its first list begins without
 // credit, as its predecessor may still grant.
 func (l *Ledger) newBucket(limit Limit, since time.Time) *Bucket {
 	b := NewBucket(l.Shares, limit, since)
-	if since.Equal(l.Membership.startedAt) {
+	if since.Equal(l.Membership.listedAt) {
 		b.level = min(l.Shares.initial(limit), l.Shares.capacity(limit))
 	}
 	return b
--- a/lib/decision/ratelimit/ledgers.go
+++ b/lib/decision/ratelimit/ledgers.go
@@ -69,8 +69,8 @@
 	vms  []netip.Addr
 	// generation counts the changes of the list.
 	generation uint64
-	// startedAt is when the process started.
-	startedAt time.Time
+	// listedAt is when the process got its first list.
+	listedAt time.Time
 	// knownSince is the time from which on the changes are known.
 	knownSince time.Time
 	// settle is how long the node grants nothing after a change that made it a ledger.
@@ -85,10 +85,9 @@
 	at      time.Time
 }
 
-// NewMembership returns the list of a node whose process started at the given time. It
-// is empty until Update is called.
-func NewMembership(self netip.Addr, started time.Time) *Membership {
-	return &Membership{self: self, startedAt: started, knownSince: started, settle: settleTime}
+// NewMembership returns the list of a node. It is empty until Update is called.
+func NewMembership(self netip.Addr) *Membership {
+	return &Membership{self: self, settle: settleTime}
 }
 
 // Update replaces the list of nodes, which must not be modified afterwards.
@@ -102,7 +101,11 @@
 	if slices.Equal(sorted, m.vms) {
 		return
 	}
-	if m.generation > 0 && !m.contains(m.vms) && m.contains(sorted) {
+	switch {
+	case m.generation == 0:
+		// No credit accrues before the first list, as other nodes may have been the ledgers.
+		m.listedAt, m.knownSince = now, now
+	case !m.contains(m.vms) && m.contains(sorted):
 		m.knownSince, m.removals = now.Add(m.settle), nil
 	}
 	for _, a := range m.vms {
--- a/lib/decision/ratelimit/limit.go
+++ b/lib/decision/ratelimit/limit.go
@@ -33,9 +33,10 @@
 	// all nodes have seen the same change of the list of nodes.
 	settleTime = 2500 * time.Millisecond
 	// startShare is the part of what the buckets leave of the bound that they hold when
-	// their processes start. The bound then holds if all processes are restarted twice
-	// within a window, and the rest covers credits on their way.
-	startShare = 1.0 / 3
+	// their processes get their first list. The bound then holds if all processes are
+	// restarted twice within a window, and the rest covers the credits that are granted
+	// before a window and used in it.
+	startShare = 1.0 / 4
 	// contactValidity is how long a reply of a ledger shows that it can be reached.
 	contactValidity = time.Second
 	// idleTime is how long unused buckets and stocks are kept.
--- a/lib/decision/ratelimit/ratelimit_test.go
+++ b/lib/decision/ratelimit/ratelimit_test.go
@@ -96,12 +96,13 @@
 	vms := addresses(21)
 	list := Ledgers("a", vms)
 	next := Ledgers("a", slices.DeleteFunc(slices.Clone(vms), func(a netip.Addr) bool { return a == list[0] }))[ledgerCount-1]
-	m := NewMembership(list[1], epoch)
-	m.Update(epoch.Add(time.Second), vms)
+	m := NewMembership(list[1])
+	listed := epoch.Add(time.Second)
+	m.Update(listed, vms)
 	since, ok := m.Ledger("a")
-	is.True(ok && since.Equal(epoch))
+	is.True(ok && since.Equal(listed))
 
-	n := NewMembership(next, epoch)
+	n := NewMembership(next)
 	n.Update(epoch, vms)
 	_, ok = n.Ledger("a")
 	is.True(!ok)
@@ -112,10 +113,10 @@
 	is.True(ok && since.Equal(removed.Add(settleTime)))
 	m.Update(removed, without)
 	since, ok = m.Ledger("a")
-	is.True(ok && since.Equal(epoch))
+	is.True(ok && since.Equal(listed))
 
 	// The removed node returns.
-	r := NewMembership(list[0], epoch)
+	r := NewMembership(list[0])
 	r.Update(epoch, vms)
 	r.Update(removed, without)
 	_, ok = r.Ledger("a")
@@ -125,12 +126,27 @@
 	is.True(ok && since.Equal(removed.Add(time.Minute+settleTime)))
 }
 
+// TestLateList guards against credit for the time before the first list, in which the
+// node was no ledger.
+func TestLateList(t *testing.T) {
+	is := is.New(t)
+	vms := addresses(5)
+	m := NewMembership(vms[0])
+	l := &Ledger{Shares: fieldShares, Membership: m}
+	limit := Limit{Rate: 150, Burst: 30, Version: 1}
+	is.True(l.Ask(epoch, vms[1], "a", limit, 1000).NotLedger)
+	late := epoch.Add(time.Hour)
+	m.Update(late, vms)
+	is.Equal(l.Ask(late, vms[1], "a", limit, 1000).Credits, int(min(fieldShares.initial(limit), fieldShares.capacity(limit))))
+	is.True(fieldShares.initial(limit) < fieldShares.capacity(limit))
+}
+
 // TestIdle guards against buckets that are dropped while their level matters, and
 // against tables that grow without end.
 func TestIdle(t *testing.T) {
 	is := is.New(t)
 	vms := addresses(5)
-	m := NewMembership(vms[0], epoch)
+	m := NewMembership(vms[0])
 	m.Update(epoch, vms)
 	l := &Ledger{Shares: fieldShares, Membership: m}
 	l.Shares.Window = 0
--- a/sidecar/limiter/limiter.go
+++ b/sidecar/limiter/limiter.go
@@ -131,7 +131,7 @@
 	}
 	s.commands = ring.New[func(time.Time)](commandCapacity)
 	s.counters = newCounters(s.Scope)
-	s.membership = ratelimit.NewMembership(s.Self, clock.Boot())
+	s.membership = ratelimit.NewMembership(s.Self)
 	s.entry = ratelimit.Entry[*call]{Self: s.Self, Shares: s.Shares, Membership: s.membership, FirstNonce: rand.Uint64()}
 	s.ledger = ratelimit.Ledger{Shares: s.Shares, Membership: s.membership}
 	s.listChanged.Store(true)
