Take the arrival of a key at the end of the head

ArrivedAt was the time of the first byte of the head, which may come seconds before the key. A proof from between the two gave a 401 for a key that is newer than it. It is now the time at which Authenticate is called; a later arrival only asks for a newer proof. The time of the first byte is used for the log line alone. TestSlowHead got 401 before and gets 503 now.

--- a/sidecar/authentication/authentication.go
+++ b/sidecar/authentication/authentication.go
@@ -113,10 +113,11 @@
 
 // examination is the examination of one request.
 type examination struct {
-	attempt string
-	key     organisation.Key
-	request organisation.Request
-	route   *routing.Route
+	attempt  string
+	key      organisation.Key
+	request  organisation.Request
+	route    *routing.Route
+	received time.Time
 
 	// The fields below hold the last result.
 	verdict      organisation.Verdict
@@ -133,11 +134,10 @@
 	if table.Register == nil {
 		return nil, nil
 	}
-	// Received is by a clock that may stop while the machine is suspended. A time of
-	// arrival that is too late is safe, as it asks for a newer proof.
-	age := time.Since(received)
-	x := &examination{attempt: platform.AttemptID(header), route: route}
-	x.request.ArrivedAt = s.Now().Add(-age)
+	x := &examination{attempt: platform.AttemptID(header), route: route, received: received}
+	// Received is the time of the first byte, and the client may have sent the key later.
+	// A time of arrival that is too late is safe, as it asks for a newer proof.
+	x.request.ArrivedAt = s.Now()
 	var err error
 	x.key, err = platform.APIKey(header)
 	switch {
@@ -221,7 +221,7 @@
 		age = now.Sub(x.proof.ProvedAt)
 	}
 	s.Log.Info("A request was refused.", "request", x.attempt, "reason", reason, "route", x.route.Name,
-		"configVersion", x.version, "configAge", age, "waited", now.Sub(x.request.ArrivedAt))
+		"configVersion", x.version, "configAge", age, "waited", time.Since(x.received))
 }
 
 // refusal returns the response to a request that is refused.
--- a/sidecar/authentication/authentication_test.go
+++ b/sidecar/authentication/authentication_test.go
@@ -179,6 +179,22 @@
 	golden.Check(t, "unknown", b.String())
 }
 
+// TestSlowHead guards against a 401 by a proof that is older than the end of the head,
+// as the key may be newer than it.
+func TestSlowHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, f, _ := start(0)
+		firstByte := time.Now()
+		time.Sleep(time.Second)
+		f.prove(time.Now())
+		time.Sleep(time.Second)
+		h := http.Header{"Authorization": {"Bearer Secret2"}}
+		_, a := s.Authenticate(t.Context(), h, &routing.Route{Name: "r"}, s.tables.State().Table, firstByte)
+		is.Equal(describe(nil, a), `503 "not run: unconfirmed key", challenge false, retry true`)
+	})
+}
+
 // TestLineTime guards against lines that the journal counts by the boot clock. Its limit
 // would refill by the years since 1970 when another service writes a line.
 func TestLineTime(t *testing.T) {
