Age the list of VMs by the boot clock

The limiter took the age of its list of VMs by the monotonic clock, which stands still while the VM is suspended. A process that was suspended for longer than others keep it then used its old list without asking a majority of the ledgers. The publication keeps the boot time of the newest list beside ReadAt, and the limiter uses it. TestSuspendedList and TestReadBoot check it; the state had no boot time before.

--- a/sidecar/limiter/limiter.go
+++ b/sidecar/limiter/limiter.go
@@ -176,9 +176,10 @@
 	s.membership.Update(now, vms)
 }
 
-// fresh reports whether the list of VMs is recent.
-func (s *Service) fresh() bool {
-	return time.Since(s.publication.State().ReadAt) < ratelimit.FreshList
+// fresh reports whether the list of VMs is recent at the boot time now.
+func (s *Service) fresh(now time.Time) bool {
+	at := s.publication.State().ReadBoot
+	return !at.IsZero() && now.Sub(at) < ratelimit.FreshList
 }
 
 // Admit decides whether a request is within the limit of its organisation. It returns a
@@ -236,7 +237,7 @@
 
 // arrive begins the decision on a request.
 func (s *Service) arrive(now time.Time, organisation string, limit ratelimit.Limit, c *call) {
-	out, ok := s.entry.Arrive(now, s.fresh(), organisation, limit, c)
+	out, ok := s.entry.Arrive(now, s.fresh(now), organisation, limit, c)
 	if !ok {
 		c.decided <- decision{refusal: &ratelimit.Refusal[*call]{NoLedger: true, RetryAfter: busyRetryAfter}}
 		return
@@ -288,13 +289,13 @@
 		}
 		g := s.ledger.Ask(now, s.Self, organisation, q.Limit, q.Wanted)
 		s.counters.granted.Inc(int64(g.Credits))
-		_, out = s.entry.Reply(now, s.fresh(), s.Self, q.Nonce, g)
+		_, out = s.entry.Reply(now, s.fresh(now), s.Self, q.Nonce, g)
 	}
 }
 
 // tick handles the questions without a reply.
 func (s *Service) tick(now time.Time) {
-	for organisation, out := range s.entry.Tick(now, s.fresh()) {
+	for organisation, out := range s.entry.Tick(now, s.fresh(now)) {
 		s.apply(now, organisation, out)
 	}
 	s.updateGauges(now)
@@ -311,7 +312,7 @@
 	}
 	if m := n.GetCreditReply(); m != nil {
 		s.enqueue(func(now time.Time) {
-			organisation, out := s.entry.Reply(now, s.fresh(), from, m.GetNonce(), decodeGrant(m))
+			organisation, out := s.entry.Reply(now, s.fresh(now), from, m.GetNonce(), decodeGrant(m))
 			s.apply(now, organisation, out)
 		})
 	}
--- a/sidecar/limiter/limiter_test.go
+++ b/sidecar/limiter/limiter_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/clock"
 	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/ratelimit"
 	"cassiarack.example/lib/decision/roster"
@@ -41,6 +42,7 @@
 // publish replaces the published VMs.
 func (f *fakeServices) publish(readAt time.Time, vms []netip.Addr) {
 	st := &publication.State{Table: routing.Compile(&routing.Configuration{Version: 1}), ReadAt: readAt,
+		ReadBoot:  clock.Boot().Add(-time.Since(readAt)),
 		Instances: make(map[string]roster.Instance)}
 	for _, a := range vms {
 		st.Instances[a.String()] = roster.Instance{ID: a.String(), Address: netip.AddrPortFrom(a, 80)}
@@ -208,6 +210,20 @@
 	is.True(a == nil)
 }
 
+// TestSuspendedList guards against a list that counts as recent after a suspension, in
+// which the monotonic clock of ReadAt stands still.
+func TestSuspendedList(t *testing.T) {
+	is := is.New(t)
+	f := &fakeServices{}
+	s := &Service{publication: f}
+	now := clock.Boot()
+	f.state.Store(&publication.State{ReadAt: time.Now(), ReadBoot: now})
+	is.True(s.fresh(now))
+	is.True(!s.fresh(now.Add(ratelimit.FreshList)))
+	f.state.Store(&publication.State{})
+	is.True(!s.fresh(now))
+}
+
 // TestMessages guards against a limit from a datagram that grants without end, and
 // against names that are no UTF-8.
 func TestMessages(t *testing.T) {
--- a/sidecar/publication/proof_test.go
+++ b/sidecar/publication/proof_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
@@ -174,6 +175,28 @@
 	golden.Check(t, "announcement", p.out.String())
 }
 
+// TestReadBoot guards against a list whose age stands still while the VM is suspended,
+// and against the boot time of a list that was not taken over.
+func TestReadBoot(t *testing.T) {
+	p := newProofTest(t, 5*time.Second)
+	is := is.New(t)
+	boot := func() time.Duration { return p.s.State().ReadBoot.Sub(time.Unix(0, 0)) }
+	now := time.Now()
+	adopt := func(age time.Duration) {
+		p.s.adoptSnapshot(now, p.s.Boot(), otherSidecar, &wire.SnapshotReply{Age: int64(age), ConfigVersion: 7, ConfigAge: 1})
+	}
+	adopt(time.Second)
+	is.Equal(boot(), 99*time.Second)
+	p.clock += 10 * time.Second
+	adopt(2 * time.Second)
+	is.Equal(boot(), 99*time.Second)
+	p.s.config.table = routing.Compile(&routing.Configuration{Version: 8})
+	p.s.publish()
+	is.Equal(boot(), 99*time.Second)
+	p.announce(1, 8, 0, 0)
+	is.Equal(boot(), 110*time.Second)
+}
+
 // TestReplyProof guards against a proof by the arrival of a slow reply or snapshot, by
 // one of another version, and by a field that the sender did not set. It also guards
 // against a newer version that goes on with the proof of the older one.
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -70,6 +70,8 @@
 	// ReadAt is the time as of which the list of instances is known to be
 	// current.
 	ReadAt time.Time
+	// ReadBoot is ReadAt by the boot clock, which goes on while the VM is suspended.
+	ReadBoot time.Time
 	// Peers are the addresses of all other VMs.
 	Peers []netip.Addr
 	// DataCentrePeers are the addresses of the other VMs in the same data
@@ -108,6 +110,7 @@
 
 	// Only the goroutine of Run uses the fields below.
 	roster          roster.Roster
+	readBoot        time.Time
 	schedule        poll.Schedule
 	config          configState
 	reading         bool
@@ -224,7 +227,7 @@
 			}
 			s.recordInvalid(p.Invalid, "store")
 			s.applyStoreConfig(began, p.Config)
-			s.applyChanges(s.roster.Replace(done, now, p.Instances), "store")
+			s.replaceList(began, "store", func() []roster.Change { return s.roster.Replace(done, now, p.Instances) })
 			s.announce(done)
 		})
 	}()
@@ -272,11 +275,27 @@
 	s.storeFailing = err != nil
 }
 
+// replaceList replaces the list of instances by one that was current at the boot time
+// readBoot, if it is newer.
+func (s *Service) replaceList(readBoot time.Time, source string, replace func() []roster.Change) {
+	before := s.roster.ReadAt()
+	changes := replace()
+	s.recordReadBoot(before, readBoot)
+	s.applyChanges(changes, source)
+}
+
+// recordReadBoot records the boot time of a list that may have replaced that of before.
+func (s *Service) recordReadBoot(before, readBoot time.Time) {
+	if s.roster.ReadAt().After(before) {
+		s.readBoot = readBoot
+	}
+}
+
 // applyChanges logs the changes of the roster and publishes the new state.
 // Without changes it only updates the time of the state.
 func (s *Service) applyChanges(changes []roster.Change, source string) {
 	if len(changes) == 0 {
-		s.confirm(s.roster.ReadAt())
+		s.confirm(s.roster.ReadAt(), s.readBoot)
 		return
 	}
 	if len(changes) > maxChangesLogged {
@@ -291,18 +310,21 @@
 	s.publish()
 }
 
-// confirm records that the current state was still valid at readAt.
-func (s *Service) confirm(readAt time.Time) {
+// confirm records that the current state was still valid at readAt, which is readBoot
+// by the boot clock.
+func (s *Service) confirm(readAt, readBoot time.Time) {
+	before := s.roster.ReadAt()
 	s.roster.Confirm(readAt)
+	s.recordReadBoot(before, readBoot)
 	st := *s.state.Load()
-	st.ReadAt = s.roster.ReadAt()
+	st.ReadAt, st.ReadBoot = s.roster.ReadAt(), s.readBoot
 	s.state.Store(&st)
 }
 
 // publish replaces the state that other services see, and calls the watchers.
 func (s *Service) publish() {
 	st := &State{Table: s.config.table, Services: make(map[string][]roster.Instance),
-		Instances: make(map[string]roster.Instance), ReadAt: s.roster.ReadAt()}
+		Instances: make(map[string]roster.Instance), ReadAt: s.roster.ReadAt(), ReadBoot: s.readBoot}
 	s.dataCentrePeers, s.remotePeers = nil, nil
 	remote := make(map[string][]netip.Addr)
 	selection := s.roster.Select(s.isNamed)
@@ -401,7 +423,7 @@
 			}
 			return
 		}
-		s.confirm(readAt)
+		s.confirm(readAt, arrived.Add(-time.Duration(a.GetAge())))
 	})
 	if err != nil {
 		s.Log.Warn("An announcement was dropped.", "from", from, "err", err)
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -54,7 +54,8 @@
 	}
 	list, invalid := decodeInstances(r.GetInstances())
 	s.recordInvalid(invalid, from.String())
-	s.applyChanges(s.roster.Adopt(now.Add(-time.Duration(r.GetAge())), list), from.String())
+	age := time.Duration(r.GetAge())
+	s.replaceList(asked.Add(-age), from.String(), func() []roster.Change { return s.roster.Adopt(now.Add(-age), list) })
 }
 
 // decodeInstances returns the instances of the records, and an error for each
