Leave answers their own share of the memory for bodies

Requests could take 0.4 of the account and all large bodies 0.5, so answers were sure of 0.1 of it only, and a request failed after its run. Requests of all sizes now leave 0.3 of the account, 15% of the memory limit, to answers. Large bodies stay within half of the account, so large requests get 0.2 of it at gates and 0.15 from clients. An answer for which this process has no memory no longer counts as a failure of the instance.

TestAnswerShare and TestNoMemoryForAnswer pass, as do the tests of memory, gate, transfer and ingress.

--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -331,6 +331,9 @@
 		// The caller cancelled the request or the deadline passed. A long run by
 		// itself is not a failure.
 		return evidence{}
+	case memory.IsKind(err, memory.KindExhausted):
+		// This process had no memory for the answer.
+		return evidence{}
 	case backend.NotSent(err):
 		return evidence{failed: true, weight: unreachableWeight}
 	case err != nil:
--- a/sidecar/gate/run_test.go
+++ b/sidecar/gate/run_test.go
@@ -14,6 +14,7 @@
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
+	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
 
@@ -77,3 +78,10 @@
 	}
 	golden.Check(t, "admission", b.String())
 }
+
+// TestNoMemoryForAnswer guards against an answer for which this process had no memory
+// that counts as a failure of the instance.
+func TestNoMemoryForAnswer(t *testing.T) {
+	err := &backend.Error{Op: "read", Kind: backend.KindLost, Err: &memory.Error{Op: "read body", Kind: memory.KindExhausted}}
+	is.New(t).Equal((&Service{}).evaluate(t.Context(), time.Time{}, nil, err), evidence{})
+}
--- a/sidecar/memory/memory.go
+++ b/sidecar/memory/memory.go
@@ -69,13 +69,25 @@
 	// Limit is the size of the account in bytes. Zero means no limit. While the
 	// account is in use, SetLimit changes it.
 	Limit int64
+	// AnswerShare is the part of the account that requests leave to answers: a request
+	// that ran and whose answer does not fit fails.
+	AnswerShare float64
 	// OnRefusal, if not nil, is called after each refused reservation with its size.
 	OnRefusal func(size int64)
 
 	mu sync.Mutex
-	// used is the number of bytes in use, and large the part of it that belongs to
-	// large bodies.
-	used, large int64
+	// all are the bytes in use, and requests the part of them that is not for answers.
+	all, requests usage
+}
+
+// usage is a number of bytes in use, and the part of it that belongs to large bodies.
+type usage struct{ bytes, large int64 }
+
+func (u *usage) add(n int64) {
+	u.bytes += n
+	if n > Large || n < -Large {
+		u.large += n
+	}
 }
 
 // SetLimit changes the size of the account. Memory in use stays in use.
@@ -89,16 +101,23 @@
 func (a *Account) Used() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.used
+	return a.all.bytes
 }
 
-// reserve takes n bytes if they fit. Large bodies fit if all large ones take at most
-// the given share of the account together.
-func (a *Account) reserve(n int64, share float64) bool {
+// reserve takes n bytes of the given kind if they fit. Those of requests leave the share
+// of answers free. Large bodies fit if all of them take at most their share, and those
+// of requests at most the given one.
+func (a *Account) reserve(n int64, answer bool, share float64) bool {
 	a.mu.Lock()
-	fits := a.Limit <= 0 || a.used+n <= a.Limit && (n <= Large || float64(a.large+n) <= share*float64(a.Limit))
+	limit := float64(a.Limit)
+	fits := a.all.bytes+n <= a.Limit && (n <= Large || float64(a.all.large+n) <= largeShare*limit)
+	if !answer {
+		fits = fits && float64(a.requests.bytes+n) <= (1-a.AnswerShare)*limit &&
+			(n <= Large || float64(a.requests.large+n) <= share*limit)
+	}
+	fits = fits || a.Limit <= 0
 	if fits {
-		a.addLocked(n)
+		a.addLocked(n, answer)
 	}
 	a.mu.Unlock()
 	if !fits && a.OnRefusal != nil {
@@ -108,16 +127,16 @@
 }
 
 // add takes n bytes that are in use already, or returns -n bytes.
-func (a *Account) add(n int64) {
+func (a *Account) add(n int64, answer bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.addLocked(n)
+	a.addLocked(n, answer)
 }
 
-func (a *Account) addLocked(n int64) {
-	a.used += n
-	if n > Large || n < -Large {
-		a.large += n
+func (a *Account) addLocked(n int64, answer bool) {
+	a.all.add(n)
+	if !answer {
+		a.requests.add(n)
 	}
 }
 
@@ -125,14 +144,16 @@
 // use.
 type Pool struct {
 	Account *Account
-	// LargeShare is the part of the account up to which large bodies of this kind
-	// are accepted. Zero means the part of all large bodies. Requests have a smaller
-	// one than answers, because a request that ran and whose answer does not fit
-	// fails.
+	// Answers is set if the bodies are those of answers.
+	Answers bool
+	// LargeShare is the part of the account up to which large bodies of requests are
+	// accepted. Zero means the part of all large bodies.
 	LargeShare float64
 }
 
-func (p *Pool) reserve(n int64) bool { return p.Account.reserve(n, cmp.Or(p.LargeShare, largeShare)) }
+func (p *Pool) reserve(n int64) bool {
+	return p.Account.reserve(n, p.Answers, cmp.Or(p.LargeShare, largeShare))
+}
 
 // ReadFull reads exactly size bytes of r. The memory of the result is taken from the
 // pool until Release, before anything is read. On an error, nothing stays taken.
@@ -201,7 +222,7 @@
 
 // Release returns the memory of a body that the pool made or read. A nil body holds
 // no memory.
-func (p *Pool) Release(body []byte) { p.Account.add(-int64(cap(body))) }
+func (p *Pool) Release(body []byte) { p.Account.add(-int64(cap(body)), p.Answers) }
 
 // Hold is memory of an account that is released as a whole, such as that of an answer
 // until it is written. It is safe for concurrent use. A nil Hold counts nothing.
@@ -210,7 +231,13 @@
 	Account *Account
 
 	mu    sync.Mutex
-	taken []int64
+	taken []taken
+}
+
+// taken is memory of a hold.
+type taken struct {
+	bytes  int64
+	answer bool
 }
 
 // Reserve takes n bytes of the pool, which belongs to the same account, if they fit.
@@ -221,31 +248,32 @@
 	if !p.reserve(n) {
 		return &Error{Op: "reserve", Kind: KindExhausted}
 	}
-	h.keep(n)
+	h.keep(taken{n, p.Answers})
 	return nil
 }
 
-// Add takes n bytes that are in use already. They may exceed the limit of the
+// Add takes n bytes of an answer that are in use already. They may exceed the limit of the
 // account, which then refuses further reservations.
 func (h *Hold) Add(n int64) {
 	if h == nil {
 		return
 	}
-	h.Account.add(n)
-	h.keep(n)
+	h.Account.add(n, true)
+	h.keep(taken{n, true})
 }
 
-// Keep takes over the memory of a body that a pool of the same account made or read.
+// Keep takes over the memory of an answer's body that a pool of the same account made
+// or read.
 func (h *Hold) Keep(body []byte) {
 	if h != nil {
-		h.keep(int64(cap(body)))
+		h.keep(taken{int64(cap(body)), true})
 	}
 }
 
-func (h *Hold) keep(n int64) {
+func (h *Hold) keep(t taken) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.taken = append(h.taken, n)
+	h.taken = append(h.taken, t)
 }
 
 // Release returns all memory of the hold.
@@ -254,10 +282,10 @@
 		return
 	}
 	h.mu.Lock()
-	taken := h.taken
+	all := h.taken
 	h.taken = nil
 	h.mu.Unlock()
-	for _, n := range taken {
-		h.Account.add(-n)
+	for _, t := range all {
+		h.Account.add(-t.bytes, t.answer)
 	}
 }
--- a/sidecar/memory/memory_test.go
+++ b/sidecar/memory/memory_test.go
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	var refused []int64
 	a := &Account{Limit: 10 << 20, OnRefusal: func(n int64) { refused = append(refused, n) }}
-	requests, answers := &Pool{Account: a, LargeShare: 0.375}, &Pool{Account: a}
+	requests, answers := &Pool{Account: a, LargeShare: 0.375}, &Pool{Account: a, Answers: true}
 	body, err := requests.ReadFull(endless{}, 3<<20)
 	is.NoErr(err)
 	reads := 0
@@ -86,6 +86,34 @@
 	is.Equal(a.Used(), int64(0))
 }
 
+// TestAnswerShare guards against requests, large and small, that leave answers less than
+// their share of the account.
+func TestAnswerShare(t *testing.T) {
+	for _, size := range []int{1 << 20, 64 << 10} {
+		is := is.New(t)
+		a := &Account{Limit: 10 << 20, AnswerShare: 0.3}
+		requests, answers := &Pool{Account: a, LargeShare: 0.2}, &Pool{Account: a, Answers: true}
+		var held [][]byte
+		for {
+			body, err := requests.Make(size)
+			if err != nil {
+				break
+			}
+			held = append(held, body)
+		}
+		answer, err := answers.Make(3 << 20)
+		is.NoErr(err)
+		h := &Hold{Account: a}
+		h.Keep(answer)
+		for _, body := range held {
+			requests.Release(body)
+		}
+		h.Release()
+		is.Equal(a.all, usage{})
+		is.Equal(a.requests, usage{})
+	}
+}
+
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -48,12 +48,15 @@
 	// bodyMemoryShare is the share of the memory limit for the bodies of requests and
 	// answers in flight, with the copies that are made of them.
 	bodyMemoryShare = 0.5
+	// answerShare is the share of the memory for bodies that requests leave to answers:
+	// 15% of the memory limit.
+	answerShare = 0.3
 	// clientShare and gateShare are the shares of the memory for bodies up to which
-	// large bodies of requests are accepted, from clients and from other sidecars; all
-	// large bodies may take half. A gate with no room beside the bodies of its own
+	// large bodies of requests are accepted, from clients and from other sidecars. All
+	// large bodies may take half, of which answerShare is for answers. A gate with no room beside the bodies of its own
 	// clients would refuse those of others, and so each sidecar all others.
-	clientShare = 0.3
-	gateShare   = 0.4
+	clientShare = 0.15
+	gateShare   = 0.2
 	// maxStoreHead bounds the header of a response of the store in bytes.
 	maxStoreHead = 64 << 10
 	// maxStopMargin and stopMarginPart bound how long before SIGKILL the drain of the
@@ -148,7 +151,7 @@
 		}
 		return "small"
 	}
-	return &memory.Account{Limit: bodyMemoryLimit(s), OnRefusal: func(n int64) {
+	return &memory.Account{Limit: bodyMemoryLimit(s), AnswerShare: answerShare, OnRefusal: func(n int64) {
 		scope.Tagged(map[string]string{"size": size(n)}).Counter("memory_refusals").Inc(1)
 	}}
 }
@@ -182,7 +185,7 @@
 	scope := m.Scope()
 	port := s.Fleet.Port()
 	bodies := bodyMemory(s, scope)
-	answers := &memory.Pool{Account: bodies}
+	answers := &memory.Pool{Account: bodies, Answers: true}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	store := &platform.Store{Address: s.Store, HTTP: storeClient(), PageTimeout: publication.PageTimeout, OnCall: func(call string, took time.Duration, err error) {
 		result := "ok"
--- a/sidecar/transfer/transfer_test.go
+++ b/sidecar/transfer/transfer_test.go
@@ -129,7 +129,7 @@
 	if err := p.Bind(nil); err != nil {
 		t.Fatal(err)
 	}
-	n.Service = &Service{Requests: &memory.Pool{Account: n.account}, Answers: &memory.Pool{Account: n.account}, Limits: transfer.DefaultLimits,
+	n.Service = &Service{Requests: &memory.Pool{Account: n.account}, Answers: &memory.Pool{Account: n.account, Answers: true}, Limits: transfer.DefaultLimits,
 		Scope: n.scope, Log: log.New(io.Discard), gate: g, peers: p, journal: journal.New(io.Discard, log.InfoLevel), Port: n.address.Port()}
 	n.countIn(n.scope)
 	if g != nil {
