Count the buffers of bodies that are not large as small

The 96 KB of buffers of an exchange were reserved as a large body, so remote bodies of 17 KB to 64 KB were refused while large ones took their share. For these bodies they are now reserved as two small halves.

TestSmallBesideLarge fails with one reservation and passes with two.

--- a/sidecar/transfer/receive.go
+++ b/sidecar/transfer/receive.go
@@ -60,7 +60,7 @@
 		return x.withdraw(grant, ReasonMemory, err)
 	}
 	defer s.Requests.Release(body)
-	if err := buffers.Reserve(s.Requests, streamMemory); err != nil {
+	if err := s.reserveBuffers(buffers, x.size); err != nil {
 		return x.withdraw(grant, ReasonMemory, err)
 	}
 	if err := x.readBody(ctx, body); err != nil {
--- a/sidecar/transfer/send.go
+++ b/sidecar/transfer/send.go
@@ -24,10 +24,10 @@
 // send offers a request to a gate and sends its body in parts once a slot is granted.
 func (s *Service) send(ctx context.Context, client wire.DRPCRelayClient, r *wire.RunRequest, answer *memory.Hold) (*wire.RunReply, error) {
 	buffers := &memory.Hold{Account: s.Requests.Account}
-	if err := buffers.Reserve(s.Requests, streamMemory); err != nil {
+	defer buffers.Release()
+	if err := s.reserveBuffers(buffers, len(r.GetBody())); err != nil {
 		return refusal(ReasonMemory), nil
 	}
-	defer buffers.Release()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := client.Exchange(ctx)
--- a/sidecar/transfer/transfer.go
+++ b/sidecar/transfer/transfer.go
@@ -158,6 +158,20 @@
 	s.grants, s.voidGrants = scope.Counter("transfer_grants"), scope.Counter("transfer_void_grants")
 }
 
+// reserveBuffers takes the memory of the buffers of an exchange with a body of the given
+// size. Those of a body that is not large do not count as large either.
+func (s *Service) reserveBuffers(buffers *memory.Hold, size int) error {
+	if size > memory.Large {
+		return buffers.Reserve(s.Requests, streamMemory)
+	}
+	for range 2 {
+		if err := buffers.Reserve(s.Requests, streamMemory/2); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // server serves the offers of other sidecars.
 type server struct{ *Service }
 
