Prove by clock exchanges whenever there are organisations

Without the setting keyRevocation, an announcement proved by the time of its arrival. A process that was stopped for seconds took one from before the stop as new and could respond with a false 401. A deployment without both still sends nothing; TestWithoutSetting is unchanged.

--- a/sidecar/publication/proof.go
+++ b/sidecar/publication/proof.go
@@ -30,8 +30,8 @@
 
 // Proof returns the version of a configuration and the earliest boot time at which a
 // read of the store that returned it may have begun. The time is zero if there is no
-// proof. With a KeyRevocation of zero, delays of announcements in the network are not
-// subtracted.
+// proof. Without organisations and with a KeyRevocation of zero, delays of announcements
+// in the network are not subtracted.
 func (s *Service) Proof() (version uint64, provedAt time.Time) {
 	p := s.proof.Load()
 	return p.Version, p.ProvedAt
@@ -53,6 +53,14 @@
 	return p.Version <= version && p.Fresh(now, s.KeyRevocation)
 }
 
+// exchangesProof reports whether proofs are exchanged with the ages and clocks that they
+// need. Without them, an announcement that waited while the process was stopped would
+// allow a 401 for a key that is newer.
+func (s *Service) exchangesProof() bool {
+	t := s.State().Table
+	return s.KeyRevocation > 0 || t != nil && t.Register != nil
+}
+
 // ProofChanged returns a channel that is closed when a newer proof replaces the current
 // one. A caller that waits for a proof gets the channel before it calls Proof.
 func (s *Service) ProofChanged() <-chan struct{} { return s.proof.Load().changed }
@@ -97,7 +105,7 @@
 // asked.
 func (s *Service) proveBySnapshot(asked time.Time, r *wire.SnapshotReply) {
 	age := r.GetConfigAge()
-	if s.KeyRevocation == 0 {
+	if !s.exchangesProof() {
 		age = stateAge(r.GetAge())
 	}
 	s.proveByStatement(asked, r.GetConfigVersion(), age)
@@ -124,7 +132,7 @@
 // refers to.
 func (s *Service) addProof(a *wire.Announcement) {
 	now := s.Boot()
-	if s.KeyRevocation == 0 || now.IsZero() {
+	if !s.exchangesProof() || now.IsZero() {
 		return
 	}
 	a.ConfigAge = int64(s.proofOf(a.GetConfigVersion()).Statement(now).Age)
@@ -134,7 +142,7 @@
 // proveByAnnouncement applies what an announcement proves, and asks the sender for its
 // clock if it has to be known for that.
 func (s *Service) proveByAnnouncement(arrived time.Time, from netip.Addr, incarnation uint64, a *wire.Announcement) {
-	if s.KeyRevocation == 0 {
+	if !s.exchangesProof() {
 		s.proveByStatement(arrived, a.GetConfigVersion(), stateAge(a.GetAge()))
 		return
 	}
@@ -162,7 +170,7 @@
 // handleClockRequest replies to a question for the clock and the proof.
 func (s *Service) handleClockRequest(_ time.Time, from netip.Addr, n *wire.Notice) {
 	q := n.GetClockRequest()
-	if q == nil || s.KeyRevocation == 0 {
+	if q == nil || !s.exchangesProof() {
 		return
 	}
 	p, now := s.proof.Load(), s.Boot()
@@ -178,7 +186,7 @@
 // that has a newer configuration.
 func (s *Service) handleClockReply(_ time.Time, from netip.Addr, n *wire.Notice) {
 	r := n.GetClockReply()
-	if r == nil || s.KeyRevocation == 0 {
+	if r == nil || !s.exchangesProof() {
 		return
 	}
 	incarnation := n.GetIncarnation()
@@ -201,7 +209,7 @@
 // checkProof asks another sidecar if the proof is old, and logs when it becomes too old
 // and when it is recent again.
 func (s *Service) checkProof(now time.Time) {
-	if s.KeyRevocation == 0 {
+	if !s.exchangesProof() {
 		return
 	}
 	p := s.proof.Load().Proof
@@ -213,7 +221,7 @@
 		return
 	}
 	s.Scope.Gauge("configuration_proof_age_seconds").Update(age.Seconds())
-	tooOld := !p.Fresh(now, s.KeyRevocation)
+	tooOld := !s.Fresh(now)
 	if tooOld && !s.proofTooOld {
 		s.Log.Warn("The configuration is not known to be recent enough for keys.", "version", p.Version, "age", age, "limit", s.KeyRevocation)
 	}
--- a/sidecar/publication/proof_test.go
+++ b/sidecar/publication/proof_test.go
@@ -19,6 +19,7 @@
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/wire"
+	"cassiarack.example/platform/sample"
 	"cassiarack.example/sidecar/notice"
 )
 
@@ -259,6 +260,36 @@
 	golden.Check(t, "statements", p.out.String())
 }
 
+// TestOrganisationsWithoutSetting guards against a proof by the arrival of an
+// announcement that waited while the process was stopped, and against sidecars that do
+// not state what others need instead.
+func TestOrganisationsWithoutSetting(t *testing.T) {
+	p := newProofTest(t, 0)
+	p.s.applyStoreConfig(p.s.Boot(), sample.Configuration(8, `["a",["Secret1"]]`))
+	p.s.dataCentrePeers = []netip.Addr{otherSidecar}
+	p.note("own read")
+	p.clock += 3 * time.Second
+	p.announce(1, 8, 1000*time.Second, 200*time.Millisecond)
+	p.note("announcement without an exchange")
+	q := p.sent().GetClockRequest()
+	if q == nil {
+		t.Fatal("no question was sent")
+	}
+	p.s.handleClockReply(time.Now(), otherSidecar, &wire.Notice{Incarnation: 1, ClockReply: &wire.ClockReply{
+		Nonce: q.GetNonce(), ConfigVersion: 8, Clock: int64(1000 * time.Second), ConfigAge: int64(200 * time.Millisecond)}})
+	p.run()
+	p.note("reply")
+	p.clock += 3 * time.Second
+	p.announce(1, 8, 1000500*time.Millisecond, 100*time.Millisecond)
+	p.note("announcement from before a stop")
+	p.s.announce(time.Now())
+	fmt.Fprintf(&p.out, "announced: age of the proof %v\n", time.Duration(p.sent().GetAnnouncement().GetConfigAge()))
+	fmt.Fprintf(&p.out, "snapshot: age of the proof %v\n", time.Duration(p.s.snapshot(time.Now(), 8).GetConfigAge()))
+	p.s.checkProof(p.s.Boot())
+	fmt.Fprintf(&p.out, "asks for a proof: %t\n", p.sent().GetClockRequest() != nil)
+	golden.Check(t, "organisations_without_setting", p.out.String())
+}
+
 // TestWithoutSetting guards against messages and fields that a deployment without the
 // setting would pay for.
 func TestWithoutSetting(t *testing.T) {
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -91,7 +91,8 @@
 	Port   uint16
 	Random *rand.Rand
 	// KeyRevocation is the age from which the configuration may not be used for keys.
-	// With zero there is no such age, and no messages about it are sent.
+	// With zero there is no such age, and messages about it are sent only if the
+	// configuration has organisations.
 	KeyRevocation time.Duration
 	// Boot returns the time of the boot clock; nil means clock.Boot.
 	Boot  func() time.Time
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -28,7 +28,7 @@
 	if !s.roster.ReadAt().IsZero() {
 		reply.Age = int64(now.Sub(s.roster.ReadAt()))
 	}
-	if s.KeyRevocation > 0 {
+	if s.exchangesProof() {
 		reply.ConfigAge = int64(s.proofOf(s.config.version()).Statement(s.Boot()).Age)
 	}
 	if s.config.version() > known {
