Prove nothing by a rejected document that may revoke keys

A document that was rejected counted as proof of the version in force, so that a key that it revokes stayed accepted; a name with a space or a byte above 0x7F was enough. With keyRevocation, a rejected document whose version can be decoded and is newer than the one in force proves nothing; requests with keys then end after D with 503. All other rejected documents prove as before.

TestRejectedProof failed before.

--- a/sidecar/publication/config.go
+++ b/sidecar/publication/config.go
@@ -15,6 +15,8 @@
 	// rejected is the last invalid document, which is not decoded and logged
 	// again.
 	rejected []byte
+	// rejectedVersion is the version of that document, or zero if it has none.
+	rejectedVersion uint64
 }
 
 // version returns the version of the configuration, or zero if there is none.
@@ -36,14 +38,18 @@
 // applyConfig decodes a configuration document and publishes it if it is valid
 // and newer than the current one. The source is used for log lines. It returns the
 // version that the document confirms, or zero. An invalid document leaves the
-// configuration in force as it is, and confirms its version.
+// configuration in force as it is, and confirms its version unless its own is newer and
+// may revoke keys.
 func (s *Service) applyConfig(text []byte, source string) uint64 {
 	if len(text) == 0 {
 		return 0
 	}
-	if bytes.Equal(text, s.config.document) || bytes.Equal(text, s.config.rejected) {
+	if bytes.Equal(text, s.config.document) {
 		return s.config.version()
 	}
+	if bytes.Equal(text, s.config.rejected) {
+		return s.confirmedByRejected()
+	}
 	c, err := platform.DecodeConfig(text)
 	if err == nil && c.Version <= s.config.version() {
 		return c.Version
@@ -54,9 +60,11 @@
 	}
 	if err != nil {
 		s.config.rejected = text
+		// The reason for a missing version is part of err.
+		s.config.rejectedVersion, _ = platform.DecodeVersion(text)
 		s.Scope.Counter("configurations_rejected").Inc(1)
 		s.Log.Error("A configuration was rejected.", "source", source, "inForce", s.config.version(), "err", err)
-		return s.config.version()
+		return s.confirmedByRejected()
 	}
 	// The register holds the organisations, which may be many.
 	c.Organisations = nil
@@ -70,3 +78,12 @@
 	s.publish()
 	return c.Version
 }
+
+// confirmedByRejected returns the version that the rejected document confirms, or zero.
+// The keys that a newer version revokes are unknown.
+func (s *Service) confirmedByRejected() uint64 {
+	if s.KeyRevocation > 0 && s.config.rejectedVersion > s.config.version() {
+		return 0
+	}
+	return s.config.version()
+}
--- a/sidecar/publication/proof_test.go
+++ b/sidecar/publication/proof_test.go
@@ -238,6 +238,31 @@
 	golden.Check(t, "reply", p.out.String())
 }
 
+// TestRejectedProof guards against keys that stay accepted although a document that was
+// rejected may revoke them, and against a proof that is lost without such a document.
+func TestRejectedProof(t *testing.T) {
+	for _, bound := range []time.Duration{5 * time.Second, 0} {
+		p := newProofTest(t, bound)
+		is := is.New(t)
+		p.s.applyStoreConfig(p.s.Boot(), document(8))
+		proves := func(text []byte) bool {
+			p.clock += time.Second
+			p.s.applyStoreConfig(p.s.Boot(), text)
+			version, at := p.s.Proof()
+			is.Equal(version, uint64(8))
+			return at.Equal(p.s.Boot())
+		}
+		newer := sample.Configuration(9, `["",["Secret1"]]`)
+		is.Equal(proves(newer), bound == 0)
+		is.Equal(proves(newer), bound == 0) // the same document again
+		is.Equal(proves([]byte(`{"version":"r9","routes":1}`)), bound == 0)
+		is.True(proves([]byte(`{"version":"9"}`)))
+		is.True(proves([]byte("{")))
+		is.True(proves([]byte(`{"version":"r7","routes":1}`)))
+		is.True(proves(document(8)))
+	}
+}
+
 // TestStatements guards against announcements and replies without the clock and the age
 // of the proof. Other sidecars would then live by their own questions.
 func TestStatements(t *testing.T) {
