Use durations in the signatures of proofs

Ages were passed on as int64 and are now converted where the message is decoded. FreshFor was used only by a test, which makes the same checks by Proof and Fresh; its golden file is unchanged.

--- a/sidecar/publication/proof.go
+++ b/sidecar/publication/proof.go
@@ -43,16 +43,6 @@
 	return s.KeyRevocation == 0 || s.proof.Load().Fresh(now, s.KeyRevocation)
 }
 
-// FreshFor is like Fresh for a table of the given version, which the caller got from
-// State before. It returns false if a newer version has been proved since.
-func (s *Service) FreshFor(version uint64, now time.Time) bool {
-	if s.KeyRevocation == 0 {
-		return true
-	}
-	p := s.proof.Load()
-	return p.Version <= version && p.Fresh(now, s.KeyRevocation)
-}
-
 // exchangesProof reports whether proofs are exchanged with the ages and clocks that they
 // need. Without them, an announcement that waited while the process was stopped would
 // allow a 401 for a key that is newer.
@@ -104,16 +94,16 @@
 // proveBySnapshot applies what a snapshot proves that was asked for at the boot time
 // asked.
 func (s *Service) proveBySnapshot(asked time.Time, r *wire.SnapshotReply) {
-	age := r.GetConfigAge()
+	age := time.Duration(r.GetConfigAge())
 	if !s.exchangesProof() {
-		age = stateAge(r.GetAge())
+		age = stateAge(time.Duration(r.GetAge()))
 	}
 	s.proveByStatement(asked, r.GetConfigVersion(), age)
 	s.voidOldProof()
 }
 
 // stateAge returns the age of published state as that of a proof, which is positive.
-func stateAge(age int64) int64 {
+func stateAge(age time.Duration) time.Duration {
 	if age == 0 {
 		return 1
 	}
@@ -122,8 +112,8 @@
 
 // proveByStatement applies the statement of another sidecar that was made at the boot
 // time at or later.
-func (s *Service) proveByStatement(at time.Time, version uint64, age int64) {
-	if p, ok := (freshness.Statement{Version: version, Age: time.Duration(age)}).Proof(at); ok {
+func (s *Service) proveByStatement(at time.Time, version uint64, age time.Duration) {
+	if p, ok := (freshness.Statement{Version: version, Age: age}).Proof(at); ok {
 		s.prove(p)
 	}
 }
@@ -143,7 +133,7 @@
 // clock if it has to be known for that.
 func (s *Service) proveByAnnouncement(arrived time.Time, from netip.Addr, incarnation uint64, a *wire.Announcement) {
 	if !s.exchangesProof() {
-		s.proveByStatement(arrived, a.GetConfigVersion(), stateAge(a.GetAge()))
+		s.proveByStatement(arrived, a.GetConfigVersion(), stateAge(time.Duration(a.GetAge())))
 		return
 	}
 	if a.GetClock() == 0 {
@@ -199,7 +189,7 @@
 			s.fetchSnapshot(context.Background(), now, from)
 			return
 		}
-		s.proveByStatement(asked, r.GetConfigVersion(), r.GetConfigAge())
+		s.proveByStatement(asked, r.GetConfigVersion(), time.Duration(r.GetConfigAge()))
 	})
 	if err != nil {
 		s.Log.Warn("A reply about the configuration was dropped.", "from", from, "err", err)
--- a/sidecar/publication/proof_test.go
+++ b/sidecar/publication/proof_test.go
@@ -224,8 +224,9 @@
 	p.s.applyStoreConfig(asked, document(8))
 	p.note("own read")
 	fmt.Fprintf(&p.out, "states %v to others\n", time.Duration(p.s.snapshot(time.Now(), 8).GetConfigAge()))
-	fmt.Fprintf(&p.out, "fresh for version 7: %t, 8: %t, 9: %t\n", p.s.FreshFor(7, p.s.Boot()), p.s.FreshFor(8, p.s.Boot()),
-		p.s.FreshFor(9, p.s.Boot()))
+	version, _ := p.s.Proof()
+	fresh := p.s.Fresh(p.s.Boot())
+	fmt.Fprintf(&p.out, "fresh for version 7: %t, 8: %t, 9: %t\n", fresh && version <= 7, fresh && version <= 8, fresh && version <= 9)
 	later := asked.Add(500 * time.Millisecond)
 	p.s.applyStoreConfig(later, document(7))
 	p.note("own read of an older version")
