Set no deadline for authentication without organisations

Each request got a context with a deadline although nothing waits without a register. TestNoDeadlineWithoutRegister counted 4 allocations before and none now.

--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -450,3 +450,14 @@
 	is.True(f.requests[0].Deadline.Equal(f.requests[0].Received.Add(5 * time.Second))) // the timeout of the route
 	is.True(f.requests[1].Deadline.Equal(*s.abortAt.Load()))
 }
+
+// TestNoDeadlineWithoutRegister guards against a timer for each request of a deployment
+// without organisations, in which no request waits for its authentication.
+func TestNoDeadlineWithoutRegister(t *testing.T) {
+	is := is.New(t)
+	s := &Service{authentication: &fakeServices{}}
+	now, table := time.Now(), &routing.Table{}
+	is.Equal(testing.AllocsPerRun(10, func() {
+		s.authenticate(t.Context(), nil, nil, table, now, now.Add(time.Second))
+	}), 0.0)
+}
--- a/sidecar/ingress/handle.go
+++ b/sidecar/ingress/handle.go
@@ -91,8 +91,11 @@
 // is refused. It waits for that at most until the deadline of the request.
 func (s *Service) authenticate(ctx context.Context, header http.Header, route *routing.Route, table *routing.Table,
 	received, deadline time.Time) (*organisation.Organisation, *message.Answer) {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
+	if table.Register != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
 	return s.authentication.Authenticate(ctx, header, route, table, received)
 }
 
