Count questions and replies that the limiter drops

Commands that found the ring full left only a line at debug level. They are now counted by kind, also those that return credits. TestDropped checks the counts.

--- a/sidecar/limiter/counters.go
+++ b/sidecar/limiter/counters.go
@@ -11,7 +11,10 @@
 type counters struct {
 	admitted, refused, noLedger, busy tally.Counter
 	asked, granted, expired, returned tally.Counter
-	oldestQuestion, stocks, buckets   tally.Gauge
+	// The counters below are those of commands that found the ring full.
+	droppedQuestions, droppedReplies, droppedReturns tally.Counter
+
+	oldestQuestion, stocks, buckets tally.Gauge
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -21,9 +24,13 @@
 	credits := func(event string) tally.Counter {
 		return scope.Tagged(map[string]string{"event": event}).Counter("limit_credits")
 	}
+	dropped := func(command string) tally.Counter {
+		return scope.Tagged(map[string]string{"command": command}).Counter("limit_commands_dropped")
+	}
 	return counters{
 		admitted: requests("admitted"), refused: requests("refused"), noLedger: requests("no_ledger"), busy: requests("busy"),
 		asked: credits("asked"), granted: credits("granted"), expired: credits("expired"), returned: credits("returned"),
+		droppedQuestions: dropped("question"), droppedReplies: dropped("reply"), droppedReturns: dropped("return"),
 		oldestQuestion: scope.Gauge("limit_question_age_seconds"), stocks: scope.Gauge("limit_stocks"),
 		buckets: scope.Gauge("limit_buckets"),
 	}
--- a/sidecar/limiter/limiter.go
+++ b/sidecar/limiter/limiter.go
@@ -114,7 +114,7 @@
 
 // Return implements Permit.
 func (c *credit) Return() {
-	c.service.enqueue(func(now time.Time) { c.service.restore(now, c.organisation, c.permit) })
+	c.service.enqueue(c.service.counters.droppedReturns, func(now time.Time) { c.service.restore(now, c.organisation, c.permit) })
 }
 
 // Bind implements kernel.Service.
@@ -210,7 +210,7 @@
 		s.counters.refused.Inc(1)
 		return nil, s.refuse(r, http.StatusTooManyRequests, "the limit is exceeded", d.refusal.RetryAfter, d.refusal.Asked)
 	case <-ctx.Done():
-		s.enqueue(func(now time.Time) { s.abandon(now, o.Name, c) })
+		s.enqueue(s.counters.droppedReturns, func(now time.Time) { s.abandon(now, o.Name, c) })
 		s.counters.busy.Inc(1)
 		return nil, s.refuse(r, http.StatusServiceUnavailable, "the wait for the limit ended", busyRetryAfter, 0)
 	}
@@ -227,10 +227,12 @@
 		Body: []byte("not run: " + reason + "\n")}
 }
 
-// enqueue runs f in the goroutine of Run, if there is room in the ring. Without room, a
-// credit is lost, which only makes the limit stricter for a moment.
-func (s *Service) enqueue(f func(now time.Time)) {
+// enqueue runs f in the goroutine of Run, if there is room in the ring, and else counts
+// it as dropped. Without room, a credit is lost, which only makes the limit stricter for
+// a moment.
+func (s *Service) enqueue(dropped tally.Counter, f func(now time.Time)) {
 	if err := s.commands.Offer(f); err != nil {
+		dropped.Inc(1)
 		s.Log.Debug("A command was discarded.", "err", err)
 	}
 }
@@ -305,13 +307,13 @@
 func (s *Service) handleNotice(_ time.Time, from netip.Addr, n *wire.Notice) {
 	if m := n.GetCreditRequest(); m != nil {
 		if q, ok := decodeQuestion(m); ok {
-			s.enqueue(func(now time.Time) { s.answer(now, from, q) })
+			s.enqueue(s.counters.droppedQuestions, func(now time.Time) { s.answer(now, from, q) })
 		} else {
 			s.Log.Warn("An invalid question for credits was ignored.", "from", from)
 		}
 	}
 	if m := n.GetCreditReply(); m != nil {
-		s.enqueue(func(now time.Time) {
+		s.enqueue(s.counters.droppedReplies, func(now time.Time) {
 			organisation, out := s.entry.Reply(now, s.fresh(now), from, m.GetNonce(), decodeGrant(m))
 			s.apply(now, organisation, out)
 		})
--- a/sidecar/limiter/limiter_test.go
+++ b/sidecar/limiter/limiter_test.go
@@ -20,6 +20,7 @@
 	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/decision/routing"
 	"cassiarack.example/lib/kernel"
+	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/message"
 	"cassiarack.example/sidecar/names"
@@ -224,6 +225,22 @@
 	is.True(!s.fresh(now))
 }
 
+// TestDropped guards against questions and replies that are dropped unseen.
+func TestDropped(t *testing.T) {
+	is := is.New(t)
+	v := &vm{scope: tally.NewTestScope("", nil)}
+	v.Service = &Service{Log: log.New(io.Discard), commands: ring.New[func(time.Time)](1), counters: newCounters(v.scope)}
+	from := netip.MustParseAddr("127.0.0.1")
+	for range 3 {
+		v.handleNotice(time.Now(), from, &wire.Notice{CreditRequest: &wire.CreditRequest{}})
+	}
+	v.handleNotice(time.Now(), from, &wire.Notice{CreditReply: &wire.CreditReply{}})
+	(&credit{service: v.Service}).Return()
+	for command, want := range map[string]int64{"question": 2, "reply": 1, "return": 1} {
+		is.Equal(v.count("limit_commands_dropped", "command", command), want)
+	}
+}
+
 // TestMessages guards against a limit from a datagram that grants without end, and
 // against names that are no UTF-8.
 func TestMessages(t *testing.T) {
