--- a/sidecar/publication/proof.go
+++ b/sidecar/publication/proof.go
@@ -30,8 +30,8 @@
 
 // Proof returns the version of a configuration and the earliest boot time at which a
 // read of the store that returned it may have begun. The time is zero if there is no
-// proof. With a KeyRevocation of zero, delays of announcements in the network are not
-// subtracted.
+// proof. Without organisations and with a KeyRevocation of zero, delays of announcements
+// in the network are not subtracted.
 func (s *Service) Proof() (version uint64, provedAt time.Time) {
 	p := s.proof.Load()
 	return p.Version, p.ProvedAt
@@ -43,14 +43,12 @@
 	return s.KeyRevocation == 0 || s.proof.Load().Fresh(now, s.KeyRevocation)
 }
 
-// FreshFor is like Fresh for a table of the given version, which the caller got from
-// State before. It returns false if a newer version has been proved since.
-func (s *Service) FreshFor(version uint64, now time.Time) bool {
-	if s.KeyRevocation == 0 {
-		return true
-	}
-	p := s.proof.Load()
-	return p.Version <= version && p.Fresh(now, s.KeyRevocation)
+// exchangesProof reports whether proofs are exchanged with the ages and clocks that they
+// need. Without them, an announcement that waited while the process was stopped would
+// allow a 401 for a key that is newer.
+func (s *Service) exchangesProof() bool {
+	t := s.State().Table
+	return s.KeyRevocation > 0 || t != nil && t.Register != nil
 }
 
 // ProofChanged returns a channel that is closed when a newer proof replaces the current
@@ -96,16 +94,16 @@
 // proveBySnapshot applies what a snapshot proves that was asked for at the boot time
 // asked.
 func (s *Service) proveBySnapshot(asked time.Time, r *wire.SnapshotReply) {
-	age := r.GetConfigAge()
-	if s.KeyRevocation == 0 {
-		age = stateAge(r.GetAge())
+	age := time.Duration(r.GetConfigAge())
+	if !s.exchangesProof() {
+		age = stateAge(time.Duration(r.GetAge()))
 	}
 	s.proveByStatement(asked, r.GetConfigVersion(), age)
 	s.voidOldProof()
 }
 
 // stateAge returns the age of published state as that of a proof, which is positive.
-func stateAge(age int64) int64 {
+func stateAge(age time.Duration) time.Duration {
 	if age == 0 {
 		return 1
 	}
@@ -114,8 +112,8 @@
 
 // proveByStatement applies the statement of another sidecar that was made at the boot
 // time at or later.
-func (s *Service) proveByStatement(at time.Time, version uint64, age int64) {
-	if p, ok := (freshness.Statement{Version: version, Age: time.Duration(age)}).Proof(at); ok {
+func (s *Service) proveByStatement(at time.Time, version uint64, age time.Duration) {
+	if p, ok := (freshness.Statement{Version: version, Age: age}).Proof(at); ok {
 		s.prove(p)
 	}
 }
@@ -124,7 +122,7 @@
 // refers to.
 func (s *Service) addProof(a *wire.Announcement) {
 	now := s.Boot()
-	if s.KeyRevocation == 0 || now.IsZero() {
+	if !s.exchangesProof() || now.IsZero() {
 		return
 	}
 	a.ConfigAge = int64(s.proofOf(a.GetConfigVersion()).Statement(now).Age)
@@ -134,8 +132,8 @@
 // proveByAnnouncement applies what an announcement proves, and asks the sender for its
 // clock if it has to be known for that.
 func (s *Service) proveByAnnouncement(arrived time.Time, from netip.Addr, incarnation uint64, a *wire.Announcement) {
-	if s.KeyRevocation == 0 {
-		s.proveByStatement(arrived, a.GetConfigVersion(), stateAge(a.GetAge()))
+	if !s.exchangesProof() {
+		s.proveByStatement(arrived, a.GetConfigVersion(), stateAge(time.Duration(a.GetAge())))
 		return
 	}
 	if a.GetClock() == 0 {
@@ -162,7 +160,7 @@
 // handleClockRequest replies to a question for the clock and the proof.
 func (s *Service) handleClockRequest(_ time.Time, from netip.Addr, n *wire.Notice) {
 	q := n.GetClockRequest()
-	if q == nil || s.KeyRevocation == 0 {
+	if q == nil || !s.exchangesProof() {
 		return
 	}
 	p, now := s.proof.Load(), s.Boot()
@@ -178,7 +176,7 @@
 // that has a newer configuration.
 func (s *Service) handleClockReply(_ time.Time, from netip.Addr, n *wire.Notice) {
 	r := n.GetClockReply()
-	if r == nil || s.KeyRevocation == 0 {
+	if r == nil || !s.exchangesProof() {
 		return
 	}
 	incarnation := n.GetIncarnation()
@@ -191,7 +189,7 @@
 			s.fetchSnapshot(context.Background(), now, from)
 			return
 		}
-		s.proveByStatement(asked, r.GetConfigVersion(), r.GetConfigAge())
+		s.proveByStatement(asked, r.GetConfigVersion(), time.Duration(r.GetConfigAge()))
 	})
 	if err != nil {
 		s.Log.Warn("A reply about the configuration was dropped.", "from", from, "err", err)
@@ -201,7 +199,7 @@
 // checkProof asks another sidecar if the proof is old, and logs when it becomes too old
 // and when it is recent again.
 func (s *Service) checkProof(now time.Time) {
-	if s.KeyRevocation == 0 {
+	if !s.exchangesProof() {
 		return
 	}
 	p := s.proof.Load().Proof
@@ -213,7 +211,7 @@
 		return
 	}
 	s.Scope.Gauge("configuration_proof_age_seconds").Update(age.Seconds())
-	tooOld := !p.Fresh(now, s.KeyRevocation)
+	tooOld := !s.Fresh(now)
 	if tooOld && !s.proofTooOld {
 		s.Log.Warn("The configuration is not known to be recent enough for keys.", "version", p.Version, "age", age, "limit", s.KeyRevocation)
 	}
--- a/sidecar/publication/proof_test.go
+++ b/sidecar/publication/proof_test.go
@@ -19,6 +19,7 @@
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/wire"
+	"cassiarack.example/platform/sample"
 	"cassiarack.example/sidecar/notice"
 )
 
@@ -223,8 +224,9 @@
 	p.s.applyStoreConfig(asked, document(8))
 	p.note("own read")
 	fmt.Fprintf(&p.out, "states %v to others\n", time.Duration(p.s.snapshot(time.Now(), 8).GetConfigAge()))
-	fmt.Fprintf(&p.out, "fresh for version 7: %t, 8: %t, 9: %t\n", p.s.FreshFor(7, p.s.Boot()), p.s.FreshFor(8, p.s.Boot()),
-		p.s.FreshFor(9, p.s.Boot()))
+	version, _ := p.s.Proof()
+	fresh := p.s.Fresh(p.s.Boot())
+	fmt.Fprintf(&p.out, "fresh for version 7: %t, 8: %t, 9: %t\n", fresh && version <= 7, fresh && version <= 8, fresh && version <= 9)
 	later := asked.Add(500 * time.Millisecond)
 	p.s.applyStoreConfig(later, document(7))
 	p.note("own read of an older version")
@@ -237,6 +239,31 @@
 	golden.Check(t, "reply", p.out.String())
 }
 
+// TestRejectedProof guards against keys that stay accepted although a document that was
+// rejected may revoke them, and against a proof that is lost without such a document.
+func TestRejectedProof(t *testing.T) {
+	for _, bound := range []time.Duration{5 * time.Second, 0} {
+		p := newProofTest(t, bound)
+		is := is.New(t)
+		p.s.applyStoreConfig(p.s.Boot(), document(8))
+		proves := func(text []byte) bool {
+			p.clock += time.Second
+			p.s.applyStoreConfig(p.s.Boot(), text)
+			version, at := p.s.Proof()
+			is.Equal(version, uint64(8))
+			return at.Equal(p.s.Boot())
+		}
+		newer := sample.Configuration(9, `["",["Secret1"]]`)
+		is.Equal(proves(newer), bound == 0)
+		is.Equal(proves(newer), bound == 0) // the same document again
+		is.Equal(proves([]byte(`{"version":"r9","routes":1}`)), bound == 0)
+		is.True(proves([]byte(`{"version":"9"}`)))
+		is.True(proves([]byte("{")))
+		is.True(proves([]byte(`{"version":"r7","routes":1}`)))
+		is.True(proves(document(8)))
+	}
+}
+
 // TestStatements guards against announcements and replies without the clock and the age
 // of the proof. Other sidecars would then live by their own questions.
 func TestStatements(t *testing.T) {
@@ -259,6 +286,36 @@
 	golden.Check(t, "statements", p.out.String())
 }
 
+// TestOrganisationsWithoutSetting guards against a proof by the arrival of an
+// announcement that waited while the process was stopped, and against sidecars that do
+// not state what others need instead.
+func TestOrganisationsWithoutSetting(t *testing.T) {
+	p := newProofTest(t, 0)
+	p.s.applyStoreConfig(p.s.Boot(), sample.Configuration(8, `["a",["Secret1"]]`))
+	p.s.dataCentrePeers = []netip.Addr{otherSidecar}
+	p.note("own read")
+	p.clock += 3 * time.Second
+	p.announce(1, 8, 1000*time.Second, 200*time.Millisecond)
+	p.note("announcement without an exchange")
+	q := p.sent().GetClockRequest()
+	if q == nil {
+		t.Fatal("no question was sent")
+	}
+	p.s.handleClockReply(time.Now(), otherSidecar, &wire.Notice{Incarnation: 1, ClockReply: &wire.ClockReply{
+		Nonce: q.GetNonce(), ConfigVersion: 8, Clock: int64(1000 * time.Second), ConfigAge: int64(200 * time.Millisecond)}})
+	p.run()
+	p.note("reply")
+	p.clock += 3 * time.Second
+	p.announce(1, 8, 1000500*time.Millisecond, 100*time.Millisecond)
+	p.note("announcement from before a stop")
+	p.s.announce(time.Now())
+	fmt.Fprintf(&p.out, "announced: age of the proof %v\n", time.Duration(p.sent().GetAnnouncement().GetConfigAge()))
+	fmt.Fprintf(&p.out, "snapshot: age of the proof %v\n", time.Duration(p.s.snapshot(time.Now(), 8).GetConfigAge()))
+	p.s.checkProof(p.s.Boot())
+	fmt.Fprintf(&p.out, "asks for a proof: %t\n", p.sent().GetClockRequest() != nil)
+	golden.Check(t, "organisations_without_setting", p.out.String())
+}
+
 // TestWithoutSetting guards against messages and fields that a deployment without the
 // setting would pay for.
 func TestWithoutSetting(t *testing.T) {
