Keep bytes that nothing preceded out of small reservations

An answer to a request of up to 16 KB arrives whole, up to 8 MB, and is counted afterwards. The account was then overdrawn and refused even a body of 10 bytes. Such bytes now count only against large bodies.

--- a/sidecar/memory/memory.go
+++ b/sidecar/memory/memory.go
@@ -78,6 +78,8 @@
 	mu sync.Mutex
 	// all are the bytes in use, and requests the part of them that is not for answers.
 	all, requests usage
+	// added is the part of the bytes in use that no reservation preceded.
+	added int64
 }
 
 // usage is a number of bytes in use, and the part of it that belongs to large bodies.
@@ -106,11 +108,15 @@
 
 // reserve takes n bytes of the given kind if they fit. Those of requests leave the share
 // of answers free. Large bodies fit if all of them take at most their share, and those
-// of requests at most the given one.
+// of requests at most the given one. Bytes that no reservation preceded count only
+// against large bodies, so that small ones go on.
 func (a *Account) reserve(n int64, answer bool, share float64) bool {
 	a.mu.Lock()
 	limit := float64(a.Limit)
-	fits := a.all.bytes+n <= a.Limit && (n <= Large || float64(a.all.large+n) <= largeShare*limit)
+	fits := a.all.bytes-a.added+n <= a.Limit
+	if n > Large {
+		fits = a.all.bytes+n <= a.Limit && float64(a.all.large+n) <= largeShare*limit
+	}
 	if !answer {
 		fits = fits && float64(a.requests.bytes+n) <= (1-a.AnswerShare)*limit &&
 			(n <= Large || float64(a.requests.large+n) <= share*limit)
@@ -126,11 +132,19 @@
 	return fits
 }
 
-// add takes n bytes that are in use already, or returns -n bytes.
-func (a *Account) add(n int64, answer bool) {
+// release returns n bytes.
+func (a *Account) release(n int64, answer bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.addLocked(-n, answer)
+}
+
+// overdraw takes n bytes of an answer that are in use already, or returns -n bytes.
+func (a *Account) overdraw(n int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.addLocked(n, answer)
+	a.added += n
+	a.addLocked(n, true)
 }
 
 func (a *Account) addLocked(n int64, answer bool) {
@@ -222,7 +236,7 @@
 
 // Release returns the memory of a body that the pool made or read. A nil body holds
 // no memory.
-func (p *Pool) Release(body []byte) { p.Account.add(-int64(cap(body)), p.Answers) }
+func (p *Pool) Release(body []byte) { p.Account.release(int64(cap(body)), p.Answers) }
 
 // Hold is memory of an account that is released as a whole, such as that of an answer
 // until it is written. It is safe for concurrent use. A nil Hold counts nothing.
@@ -238,6 +252,8 @@
 type taken struct {
 	bytes  int64
 	answer bool
+	// added is set if no reservation preceded.
+	added bool
 }
 
 // Reserve takes n bytes of the pool, which belongs to the same account, if they fit.
@@ -248,25 +264,25 @@
 	if !p.reserve(n) {
 		return &Error{Op: "reserve", Kind: KindExhausted}
 	}
-	h.keep(taken{n, p.Answers})
+	h.keep(taken{bytes: n, answer: p.Answers})
 	return nil
 }
 
 // Add takes n bytes of an answer that are in use already. They may exceed the limit of the
-// account, which then refuses further reservations.
+// account, which then refuses large bodies.
 func (h *Hold) Add(n int64) {
 	if h == nil {
 		return
 	}
-	h.Account.add(n, true)
-	h.keep(taken{n, true})
+	h.Account.overdraw(n)
+	h.keep(taken{bytes: n, answer: true, added: true})
 }
 
 // Keep takes over the memory of an answer's body that a pool of the same account made
 // or read.
 func (h *Hold) Keep(body []byte) {
 	if h != nil {
-		h.keep(taken{int64(cap(body)), true})
+		h.keep(taken{bytes: int64(cap(body)), answer: true})
 	}
 }
 
@@ -286,6 +302,10 @@
 	h.taken = nil
 	h.mu.Unlock()
 	for _, t := range all {
-		h.Account.add(-t.bytes, t.answer)
+		if t.added {
+			h.Account.overdraw(-t.bytes)
+		} else {
+			h.Account.release(t.bytes, t.answer)
+		}
 	}
 }
