Overdraw the account for the answer to a request in parts

If the entry had no memory for the answer of a request that had run, the result counted as lost, and idempotent requests were repeated. The answer exists, so its memory is now added as that of an answer that arrives whole. It stays counted until the hold of the request is released.

TestAnswerWithoutMemory fails before (no reply) and passes now.

--- a/sidecar/transfer/memory_test.go
+++ b/sidecar/transfer/memory_test.go
@@ -27,3 +27,16 @@
 	is.NoErr(err)
 	is.Equal(reply.GetReason(), ReasonMemory)
 }
+
+// TestAnswerWithoutMemory guards against an answer that counts as lost, so that the
+// request repeats, because the entry has no memory for it.
+func TestAnswerWithoutMemory(t *testing.T) {
+	const answerBytes = 1 << 20
+	is := is.New(t)
+	entry, target := startNode(t, nil, nil), startNode(t, &fakeGate{answerBytes: answerBytes}, nil)
+	entry.account.SetLimit(512 << 10)
+	reply, err := entry.offer(t.Context(), target, 20<<10)
+	is.NoErr(err)
+	is.Equal(len(reply.GetBody()), answerBytes)
+	entry.awaitFree(t)
+}
--- a/sidecar/transfer/send.go
+++ b/sidecar/transfer/send.go
@@ -113,31 +113,30 @@
 	case size < 0 || size > message.MaxBody:
 		return nil, errAnswerSize
 	case size > 0:
-		body, err := x.readBody(ctx, int(size))
+		body, err := x.readBody(ctx, int(size), answer)
 		if err != nil {
 			return nil, err
 		}
 		reply.Body = body
-		answer.Keep(body)
 	default:
 		answer.Add(int64(len(reply.GetBody())))
 	}
 	return reply, x.state.Reply(refused)
 }
 
-// readBody reads the parts of an answer's body.
-func (x *sending) readBody(ctx context.Context, size int) ([]byte, error) {
-	body, err := x.service.Answers.Make(size)
-	if err != nil {
-		return nil, err
+// readBody reads the parts of an answer's body. The request has run, and so the memory
+// is taken even if it exceeds the account.
+func (x *sending) readBody(ctx context.Context, size int, answer *memory.Hold) ([]byte, error) {
+	if err := answer.Reserve(x.service.Answers, int64(size)); err != nil {
+		answer.Add(int64(size))
 	}
+	body := make([]byte, size)
 	for at := 0; at < size; {
 		m, err := x.replies.next(ctx)
 		if n := len(m.GetPart()); err == nil && (n == 0 || n > size-at) {
 			err = errAnswerSize
 		}
 		if err != nil {
-			x.service.Answers.Release(body)
 			return nil, err
 		}
 		at += copy(body[at:], m.GetPart())
