Count repeats from the grant

Requests counted as running from the grant, but as repeats only once their bodies had arrived, so that the share of repeats was too small while large bodies arrived.

TestRepeatShareFromGrant passes. It fails if repeats are not counted with the grant.

--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -83,10 +83,18 @@
 		g.endSpan(refusal)
 		return nil, refusal
 	}
-	s.executing.Add(1)
+	g.count(1)
 	return g, nil
 }
 
+// count adds n to the numbers of requests that run.
+func (g *grant) count(n int64) {
+	g.service.executing.Add(n)
+	if g.job.request.GetRepeat() {
+		g.service.repeating.Add(n)
+	}
+}
+
 // admit returns a refusal, or nil if a slot is reserved.
 func (s *Service) admit(ctx context.Context, g *grant) *wire.RunReply {
 	j, r := g.job, g.job.request
@@ -119,14 +127,14 @@
 
 // Withdraw implements Grant.
 func (g *grant) Withdraw() {
-	g.service.executing.Add(-1)
+	g.count(-1)
 	g.service.release(g.job, evidence{})
 	g.endSpan(nil)
 }
 
 // Run implements Grant.
 func (g *grant) Run(ctx context.Context, body []byte, answer *memory.Hold) *wire.RunReply {
-	defer g.service.executing.Add(-1)
+	defer g.count(-1)
 	reply := g.service.execute(trace.ContextWithSpan(ctx, g.span), g, body, answer)
 	g.endSpan(reply)
 	return reply
@@ -180,10 +188,6 @@
 // deadline has passed while its body arrived.
 func (s *Service) execute(ctx context.Context, g *grant, body []byte, keep *memory.Hold) *wire.RunReply {
 	j, r, received := g.job, g.job.request, g.received
-	if r.GetRepeat() {
-		s.repeating.Add(1)
-		defer s.repeating.Add(-1)
-	}
 	started := time.Now()
 	left := time.Duration(r.GetRemaining()) - started.Sub(received)
 	if left <= 0 {
--- a/sidecar/gate/run_test.go
+++ b/sidecar/gate/run_test.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
 
 	"cassiarack.example/lib/golden"
+	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/wire"
 	"cassiarack.example/sidecar/backend"
 	"cassiarack.example/sidecar/memory"
@@ -85,3 +87,25 @@
 	err := &backend.Error{Op: "read", Kind: backend.KindLost, Err: &memory.Error{Op: "read body", Kind: memory.KindExhausted}}
 	is.New(t).Equal((&Service{}).evaluate(t.Context(), time.Time{}, nil, err), evidence{})
 }
+
+// TestRepeatShareFromGrant guards against repeats that count only once their bodies have
+// arrived, while all requests count from the grant, and against a count that stays.
+func TestRepeatShareFromGrant(t *testing.T) {
+	is := is.New(t)
+	s := &Service{commands: ring.New[func(time.Time)](1)}
+	s.commands.Close()
+	granted := func(repeat bool) *grant {
+		g := &grant{service: s, received: time.Now(), span: trace.SpanFromContext(t.Context()),
+			job: &job{request: &wire.RunRequest{Repeat: repeat}}}
+		g.count(1)
+		return g
+	}
+	first, withdrawn, expired := granted(false), granted(true), granted(true)
+	is.Equal(s.RepeatShare(), 2.0/3)
+	withdrawn.Withdraw()
+	is.Equal(s.RepeatShare(), 0.5)
+	expired.Run(t.Context(), nil, nil) // its deadline has passed
+	is.Equal(s.RepeatShare(), 0.0)
+	first.Withdraw()
+	is.Equal(s.Running(), 0)
+}
