Bound the time of a whole body

Bodies of up to 64 KB and chunked ones had no deadline, and that of larger ones began anew at each read, so clients could keep memory without end by sending byte by byte. A whole body may now take the time of a header plus its size over a link of 10 Mbit/s narrowed 36 times; it ends with 408. Large bodies still end too when nothing arrives for the time of a header.

TestSlowBody fails before in all three cases and passes now, as do the other tests of bodies, heads and pipelines.

--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -17,6 +17,10 @@
 	"cassiarack.example/sidecar/message"
 )
 
+// slowestBody is the rate in bytes a second below which a body is refused: that of a
+// link of 10 Mbit/s that is narrowed 36 times.
+const slowestBody = 10e6 / 8 / 36
+
 // refusal is the status and body of the response to a request that is not
 // handled.
 type refusal struct {
@@ -182,28 +186,45 @@
 	if r.ContentLength > limit {
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
-	if chunked {
-		if err := c.sendContinue(r); err != nil {
-			return nil, err
-		}
-	}
 	var body []byte
 	var err error
 	if chunked {
-		body, err = c.service.Bodies.ReadAll(httputil.NewChunkedReader(c.reader), int(limit))
+		body, err = c.readChunked(r, int(limit))
 	} else {
 		body, err = c.readSized(r)
 	}
+	var refused *refusal
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, errSlowBody
 	case memory.IsKind(err, memory.KindTooLarge):
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
 	case memory.IsKind(err, memory.KindExhausted):
 		return nil, &refusal{http.StatusServiceUnavailable, "not run: the memory for bodies is in use"}
+	case errors.As(err, &refused):
+		return nil, refused
 	case err != nil:
 		return nil, fmt.Errorf("ingress: %w", err)
 	}
-	if !chunked {
-		return body, nil
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		c.service.Bodies.Release(body)
+		return nil, err
+	}
+	return body, nil
+}
+
+// readChunked reads a body of unknown size, at most limit bytes, with its trailer. It
+// may take as long as one of limit bytes.
+func (c *conn) readChunked(r *http.Request, limit int) ([]byte, error) {
+	if err := c.sendContinue(r); err != nil {
+		return nil, err
+	}
+	if err := c.net.SetReadDeadline(c.bodyDeadline(time.Now(), limit)); err != nil {
+		return nil, err
+	}
+	body, err := c.service.Bodies.ReadAll(httputil.NewChunkedReader(c.reader), limit)
+	if err != nil {
+		return nil, err
 	}
 	if err := c.skipTrailer(); err != nil {
 		c.service.Bodies.Release(body)
@@ -212,6 +233,15 @@
 	return body, nil
 }
 
+// errSlowBody refuses a request whose body arrives too slowly.
+var errSlowBody = &refusal{http.StatusRequestTimeout, "not run: the body took too long"}
+
+// bodyDeadline returns when a body of the given size must have arrived that begins at
+// now.
+func (c *conn) bodyDeadline(now time.Time, size int) time.Time {
+	return now.Add(c.service.limits().HeaderTimeout + time.Duration(float64(size)/slowestBody*float64(time.Second)))
+}
+
 // readSized reads a body whose size is known. Its memory is taken before the client is
 // asked for it and before anything is read.
 func (c *conn) readSized(r *http.Request) ([]byte, error) {
@@ -229,28 +259,26 @@
 	return body, nil
 }
 
-// fill reads a body of known size. A large one, whose memory others wait for, is refused
-// if nothing of it arrives for as long as a header may take.
+// fill reads a body of known size. It is refused if it takes too long, and a large one,
+// whose memory others wait for, also if nothing of it arrives for as long as a header
+// may take.
 func (c *conn) fill(body []byte) error {
-	if len(body) <= memory.Large {
-		_, err := io.ReadFull(c.reader, body)
-		return err
-	}
-	limit := c.service.limits().HeaderTimeout
+	limit, until := c.service.limits().HeaderTimeout, c.bodyDeadline(time.Now(), len(body))
 	for at := 0; at < len(body); {
-		if err := c.net.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		next := until
+		if stalled := time.Now().Add(limit); len(body) > memory.Large && stalled.Before(until) {
+			next = stalled
+		}
+		if err := c.net.SetReadDeadline(next); err != nil {
 			return err
 		}
 		n, err := c.reader.Read(body[at:])
 		at += n
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return &refusal{http.StatusRequestTimeout, "not run: the body took too long"}
-		}
 		if err != nil && at < len(body) {
 			return err
 		}
 	}
-	return c.net.SetReadDeadline(time.Time{})
+	return nil
 }
 
 // sendContinue asks a client that waits for it to send its body.
--- a/sidecar/ingress/memory_test.go
+++ b/sidecar/ingress/memory_test.go
@@ -94,3 +94,32 @@
 	is.Equal(s.Bodies.Account.Used(), int64(0))
 	is.Equal(len(f.requests), 0)
 }
+
+// TestSlowBody guards against clients that keep a connection and memory without end by
+// sending a body byte by byte, whatever its size and encoding.
+func TestSlowBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"small":   "Content-Length: 20000\r\n\r\n",
+		"large":   "Content-Length: 66000\r\n\r\n",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n5000\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, f, address, _ := startIngressWith(t, routing.Limits{HeaderBytes: 512, BodyBytes: 66_000, HeaderTimeout: 200 * time.Millisecond})
+			c := dial(t, address)
+			_, err := io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: h.example\r\n"+head)
+			is.NoErr(err)
+			go func() {
+				for err := error(nil); err == nil; time.Sleep(50 * time.Millisecond) {
+					_, err = c.Write([]byte{'a'})
+				}
+			}()
+			is.NoErr(c.SetReadDeadline(time.Now().Add(4 * time.Second)))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+			is.Equal(s.Bodies.Account.Used(), int64(0))
+			is.Equal(len(f.requests), 0)
+		})
+	}
+}
