Let the soak run with organisations

Clients send their keys, some of them revoked, and bodies of 16 to 300 KB. Faults add or revoke a key, change a limit, or make one organisation hot.

A lower limit counts from 2.5 s in which no fault may keep a VM from the store.

--- a/standin/mesh/check.go
+++ b/standin/mesh/check.go
@@ -22,6 +22,10 @@
 	answerSlack = 700 * time.Millisecond
 	// disturbanceTime is how long after a fault on a VM late answers are allowed.
 	disturbanceTime = 7 * time.Second
+	// largeShare is the number of unsafe requests of which one has a large body, in a
+	// soak with organisations, and maxLargeBody the size of the largest.
+	largeShare   = 8
+	maxLargeBody = 300_000
 	// maxRequestPause is the longest time between two requests of a client.
 	maxRequestPause = 40 * time.Millisecond
 )
@@ -93,6 +97,9 @@
 		o.mu.Lock()
 		o.unsafeAttempts = append(o.unsafeAttempts, attempt)
 		o.mu.Unlock()
+		if m.accounts != nil && rand.IntN(largeShare) == 0 {
+			text = largeBody(attempt, minLargeBody+rand.IntN(maxLargeBody-minLargeBody))
+		}
 	case 1:
 		path = "/other/"
 	}
@@ -142,6 +149,11 @@
 		if len(m.Runs.executions(attempt)) == 0 {
 			o.addViolation("answer without a run: attempt %s succeeded but never ran", attempt)
 		}
+	case http.StatusUnauthorized:
+		if m.accounts == nil || m.accounts.inForce(attempt, time.Now()) {
+			o.addViolation("false 401: attempt %s has a key that is in force", attempt)
+		}
+		fallthrough
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		o.mu.Lock()
 		o.refusedAttempts = append(o.refusedAttempts, attempt)
--- a/standin/mesh/soak.go
+++ b/standin/mesh/soak.go
@@ -50,6 +50,9 @@
 	stopClients()
 	clients.Wait()
 	s.violations = append(s.violations, m.OwnEnds()...)
+	if m.accounts != nil {
+		s.violations = append(s.violations, m.checkAccounts()...)
+	}
 	return o, append(s.violations, m.CheckExecutions(o)...)
 }
 
@@ -73,6 +76,9 @@
 	}
 	kinds := []func(v *VM, d time.Duration){s.kill, s.terminate, s.freeze, s.hangup, s.instanceFault, s.instanceFault, s.storeFault,
 		s.networkFault, s.networkFault, s.reconfigure}
+	if s.accounts != nil {
+		kinds = append(kinds, s.addKey, s.revokeKey, s.changeLimit, s.heat)
+	}
 	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
 		kinds[s.rng.IntN(len(kinds))](s.VMs[s.rng.IntN(len(s.VMs))], faultTimeRange/10+time.Duration(s.rng.Int64N(int64(faultTimeRange))))
 		time.Sleep(time.Duration(s.rng.Int64N(int64(maxFaultPause))))
@@ -89,10 +95,12 @@
 
 // withProcessLock runs f in a new goroutine with the process lock of a VM held.
 func (s *soak) withProcessLock(v *VM, f func()) {
+	s.accounts.disturb(time.Now())
 	s.repairs.Go(func() {
 		s.processLocks[v].Lock()
 		defer s.processLocks[v].Unlock()
 		f()
+		s.accounts.calm(time.Now())
 	})
 }
 
@@ -157,8 +165,10 @@
 		s.signal(v, syscall.SIGHUP)
 		return
 	}
+	s.accounts.disturb(time.Now())
 	s.repairs.Go(func() {
 		defer s.processLocks[v].Unlock()
+		defer func() { s.accounts.calm(time.Now()) }()
 		v.endExpected.Store(true)
 		s.signal(v, syscall.SIGHUP)
 		select {
@@ -181,8 +191,12 @@
 	modes := []Mode{Unavailable, TooManyRequests, Reset, Silent, Slow}
 	mode := modes[s.rng.IntN(len(modes))]
 	s.log("store: mode %s for %v", mode, d)
+	s.accounts.disturb(time.Now())
 	s.Store.SetMode(mode)
-	s.repairAfter(d, func() { s.Store.SetMode(Healthy) })
+	s.repairAfter(d, func() {
+		s.Store.SetMode(Healthy)
+		s.accounts.calm(time.Now())
+	})
 }
 
 // networkFault affects one direction of the connections of a VM to its instance or
@@ -209,8 +223,10 @@
 		// The same fault is already in force.
 		return
 	}
+	s.accounts.disturb(time.Now())
 	s.repairAfter(d, func() {
 		remove()
+		s.accounts.calm(time.Now())
 		v.RecordFault()
 	})
 }
@@ -230,6 +246,10 @@
 		s.violations = append(s.violations, fmt.Sprintf("recover: %v", err))
 		return
 	}
+	if s.accounts != nil {
+		// Without faults, a lower limit binds before the clients end.
+		s.setLimit(1, soakRates[1]/5, disturbanceTime+maxDrainDelay)
+	}
 	time.Sleep(disturbanceTime)
 	s.reconfigure(nil, 0)
 	draining := s.VMs[s.rng.IntN(len(s.VMs))]
--- a/standin/soak_command.go
+++ b/standin/soak_command.go
@@ -21,6 +21,7 @@
 	alpha := fs.Int(0, "alpha", 6, "instances of the first service")
 	beta := fs.Int(0, "beta", 3, "instances of the second service")
 	network := fs.Int(0, "network", 50, "second byte of the loopback addresses")
+	organisations := fs.Bool(0, "organisations", "with organisations, whose keys and limits change")
 	return &ff.Command{
 		Name:      "soak",
 		Usage:     "cassiarack-standin soak [FLAGS]",
@@ -32,6 +33,9 @@
 			for n := range *seeds {
 				s := *seed + uint64(n)
 				m := &mesh.Mesh{Program: *program, Services: map[string]int{"alpha": *alpha, "beta": *beta}, Network: *network}
+				if *organisations {
+					m.UseOrganisations()
+				}
 				broken, err := runSeed(ctx, m, s, *length)
 				if err != nil {
 					return err
