--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-in that the scripts of the second review start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+go build -o target/review-2/standin-2 ./review/standin-2/main.go
