--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -273,7 +273,11 @@
 	leftAt time.Time
 	late   []string
 	ran    map[string]int
-	server *http.Server
+	// running holds when each request that the instance works on arrived.
+	running map[string]time.Time
+	// arrivals holds when requests arrived.
+	arrivals []time.Time
+	server   *http.Server
 }
 
 func (i *instance) serve() error {
@@ -302,7 +306,14 @@
 		}
 	}
 	i.ran[attempt]++
+	i.running[attempt] = now
+	i.arrivals = append(i.arrivals, now)
 	i.mu.Unlock()
+	defer func() {
+		i.mu.Lock()
+		delete(i.running, attempt)
+		i.mu.Unlock()
+	}()
 	if since > 0 {
 		i.rec.line("request %s reaches %s, %d ms after its leaving was acknowledged", attempt, i.m.id, since.Milliseconds())
 	} else {
@@ -548,7 +559,7 @@
 )
 
 func main() {
-	cases := map[string]func(*fleet, bool) (result, error){"upload": upload, "return": comeBack, "slow": slowReader}
+	cases := map[string]func(*fleet, bool) (result, error){"upload": upload, "return": comeBack, "slow": slowReader, "gone": gone}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE SIDECAR RECORD")
 		os.Exit(int(invalid))
@@ -599,7 +610,7 @@
 	for _, m := range machines {
 		m.id = fmt.Sprintf("i-%08x", 0x7f3a91c0+m.n)
 		m.published, m.own = ip(m.n), ip(m.n)
-		m.inst = &instance{m: m, rec: f.rec, work: work, ran: make(map[string]int)}
+		m.inst = &instance{m: m, rec: f.rec, work: work, ran: make(map[string]int), running: make(map[string]time.Time)}
 		if err := m.inst.serve(); err != nil {
 			return err
 		}
@@ -879,3 +890,137 @@
 	}
 	return status, got, nil
 }
+
+// gone lets clients send pipelined lookups and leave soon afterwards.
+func gone(f *fleet, trouble bool) (result, error) {
+	const (
+		clients   = 6
+		pipelined = 36
+		headBytes = 1_000
+		work      = 2 * time.Second
+		stayed    = 300 * time.Millisecond
+		allowed   = 500 * time.Millisecond
+		deadline  = 8 * time.Second
+		few       = 3
+	)
+	machines := []*machine{{n: 1, zone: "jihlava", service: "maps", slots: 10}}
+	for n := 2; n <= 11; n++ {
+		machines = append(machines, &machine{n: n, zone: []string{"jihlava", "trebic", "pelhrimov"}[n%3], service: "ledger", slots: 10})
+	}
+	if err := f.start(configOf, machines, 0, work); err != nil {
+		return invalid, err
+	}
+	broke := false
+	for _, count := range []int{8, pipelined} {
+		var wg sync.WaitGroup
+		answered := 0
+		var mu sync.Mutex
+		for n := range clients {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				got := f.pipeline(machines[0], fmt.Sprintf("lookup-%d-%d", count, n), count, headBytes, deadline, stayed, trouble)
+				mu.Lock()
+				defer mu.Unlock()
+				answered += got
+			}()
+		}
+		time.Sleep(stayed)
+		atLeaving, _ := atWork(machines, time.Now())
+		time.Sleep(allowed)
+		if !trouble {
+			wg.Wait()
+			f.rec.line("%d clients with %d pipelined requests: %d answers", clients, count, answered)
+			continue
+		}
+		left := time.Now().Add(-allowed)
+		still, _ := atWork(machines, left)
+		time.Sleep(3 * time.Second)
+		late := 0
+		for _, m := range machines {
+			late += m.inst.arrivedAfter(left.Add(allowed))
+		}
+		wg.Wait()
+		f.rec.line("%d clients with %d pipelined requests left: %d requests at work then, %d of them %v later, %d requests reached an instance after that",
+			clients, count, atLeaving, still, allowed, late)
+		if still*4 > atLeaving || late > few {
+			f.rec.line("GONE: broken (allowed: a quarter at work, %d requests that arrive)", few)
+			broke = true
+		}
+		time.Sleep(3 * time.Second)
+	}
+	if broke {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// atWork returns the number of requests that instances work on and that arrived before
+// a time.
+func atWork(machines []*machine, before time.Time) (n, all int) {
+	for _, m := range machines {
+		m.inst.mu.Lock()
+		for _, at := range m.inst.running {
+			all++
+			if at.Before(before) {
+				n++
+			}
+		}
+		m.inst.mu.Unlock()
+	}
+	return n, all
+}
+
+// arrivedAfter returns the number of requests that reached the instance after a time.
+func (i *instance) arrivedAfter(at time.Time) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n := 0
+	for _, a := range i.arrivals {
+		if a.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// pipeline sends requests on one connection without waiting for answers. It leaves after
+// stay, or reads all answers, and returns the number of those with status 200.
+func (f *fleet) pipeline(m *machine, attempt string, count, headBytes int, deadline, stay time.Duration, leaves bool) int {
+	c, err := net.Dial("tcp", net.JoinHostPort(m.published, strconv.Itoa(portCallers)))
+	if err != nil {
+		f.rec.line("client %s: %v", attempt, err)
+		return 0
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(2 * deadline))
+	var b strings.Builder
+	for n := range count {
+		fmt.Fprintf(&b, "GET /ledger/entry HTTP/1.1\r\nHost: shop.example\r\nX-Cassiarack-Attempt-Id: %s-%d\r\nX-Cassiarack-Deadline-Ms: %d\r\nCookie: %s\r\n\r\n",
+			attempt, n, deadline.Milliseconds(), strings.Repeat("c", headBytes))
+	}
+	f.rec.line("client sends %s-0 to %s-%d", attempt, attempt, count-1)
+	if leaves {
+		go func() { _, _ = io.WriteString(c, b.String()) }()
+		time.Sleep(stay)
+		f.rec.line("client of %s leaves", attempt)
+		return 0
+	}
+	go func() { _, _ = io.WriteString(c, b.String()) }()
+	r := bufio.NewReader(c)
+	answered := 0
+	for range count {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			f.rec.line("client of %s: %v", attempt, err)
+			return answered
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return answered
+		}
+		if resp.StatusCode == http.StatusOK {
+			answered++
+		}
+	}
+	return answered
+}
