Reject answers of instances with a status that does not exist

Cause: net/http takes any three characters that form a number as a status, and package backend looked at the status only to tell successes, refusals and informational answers apart.

Change: a final answer has a status from 200 to 599 (RFC 9110, section 15). Others are invalid answers: the connection closes, the instance counts as failing and the client gets 502, or the answer of another instance if the request may be repeated. This works because the check precedes everything that uses the status, and no answer reaches a client by another way.

Evidence: before the change, TestBrokenAnswers (two real sidecars) showed "HTTP/1.1 0 ", "99", "20", "600" and "999" with the body at the client, and TestAnswers the same in package backend; both failed against the golden files of this commit. Both hold now; 599 is still passed on.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"cassiarack.example/lib/answer"
 	"cassiarack.example/lib/link"
 	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/memory"
@@ -409,6 +410,9 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		if err := answer.CheckStatus(resp.StatusCode); err != nil {
+			return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: err}
+		}
 		cn.in.allowed = maxBodyOnWire
 		body, err := cn.memory.ReadAll(resp.Body, message.MaxBody)
 		if err != nil {
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -112,6 +112,9 @@
 		{"second answer after the first", whole + whole},
 		{"extra bytes after the answer", whole + "x"},
 		{"informational response first", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole},
+		{"status 000", "HTTP/1.1 000 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
+		{"status 099", "HTTP/1.1 099 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
+		{"status 600", "HTTP/1.1 600 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
 		{"conflicting lengths", ok + idA + signed + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi"},
 	}
 	var b strings.Builder
--- /dev/null
+++ b/standin/mesh/broken_test.go
@@ -0,0 +1,129 @@
+package mesh
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassiarack.example/lib/golden"
+)
+
+// rawInstance is an instance that writes its answers byte for byte.
+type rawInstance struct {
+	listener net.Listener
+	signer   *Instance
+	answer   brokenAnswer
+}
+
+// brokenAnswer is an answer that HTTP does not allow.
+type brokenAnswer struct {
+	name string
+	// statusLine is the first line of the answer; empty means that of a success.
+	statusLine string
+	// fields are the header lines beside those that identify the answer.
+	fields string
+	body   string
+}
+
+// startRawInstance replaces the proxy and the instance of a VM.
+func (m *Mesh) startRawInstance(v *VM) (*rawInstance, error) {
+	v.instanceProxy.Stop()
+	l, err := net.Listen("tcp", m.address(v.Index, portProxy).String())
+	if err != nil {
+		return nil, err
+	}
+	i := &rawInstance{listener: l, signer: v.Instance}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			i.serve(c)
+		}
+	}()
+	return i, nil
+}
+
+// serve reads one request and writes the answer.
+func (i *rawInstance) serve(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	a := i.answer
+	status := a.statusLine
+	if status == "" {
+		status = "HTTP/1.1 200 OK"
+	}
+	// An error means that the sidecar closed the connection.
+	_, _ = io.WriteString(c, status+"\r\n"+i.signer.identityHeaders(r.Header.Get("X-Cassiarack-Attempt-Id"))+a.fields+"\r\n"+a.body)
+}
+
+// exchangeRaw sends a request that may run only once to the sidecar of a VM. It
+// returns the status line and the body that the client gets.
+func (m *Mesh) exchangeRaw(v *VM, attempt string) (string, error) {
+	c, err := net.DialTimeout("tcp", m.address(v.Index, portCallers).String(), time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(clientDeadline + answerSlack)); err != nil {
+		return "", err
+	}
+	if _, err := fmt.Fprintf(c, "POST /accept/x HTTP/1.1\r\nHost: mesh.example\r\nX-Cassiarack-Attempt-Id: %s\r\n"+
+		"X-Cassiarack-Deadline-Ms: 2000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", attempt); err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(c)
+	if err != nil {
+		return "", err
+	}
+	head, body, _ := strings.Cut(string(text), "\r\n\r\n")
+	line, _, _ := strings.Cut(head, "\r\n")
+	return fmt.Sprintf("%s; %q", line, body), nil
+}
+
+// TestBrokenAnswers guards against answers of a faulty instance that reach the client
+// as whole answers, through two sidecars: those with a status that does not exist.
+func TestBrokenAnswers(t *testing.T) {
+	is := is.New(t)
+	m := &Mesh{Program: program, Folder: t.TempDir(), Services: map[string]int{"alpha": 1, "beta": 1}, Network: 96}
+	defer m.Stop()
+	is.NoErr(m.Start(t.Context()))
+	vm := func(service string) *VM {
+		return m.VMs[slices.IndexFunc(m.VMs, func(v *VM) bool { return v.Instance.Service == service })]
+	}
+	i, err := m.startRawInstance(vm("alpha"))
+	is.NoErr(err)
+	defer i.listener.Close()
+	const length = "Content-Length: 2\r\n"
+	var out strings.Builder
+	for n, a := range []brokenAnswer{
+		{name: "whole", fields: length, body: "hi"},
+		{name: "status 000", statusLine: "HTTP/1.1 000 x", fields: length, body: "hi"},
+		{name: "status 099", statusLine: "HTTP/1.1 099 x", fields: length, body: "hi"},
+		{name: "status with a sign", statusLine: "HTTP/1.1 +20 x", fields: length, body: "hi"},
+		{name: "status 600", statusLine: "HTTP/1.1 600 x", fields: length, body: "hi"},
+		{name: "status 999", statusLine: "HTTP/1.1 999 x", fields: length, body: "hi"},
+		{name: "last status", statusLine: "HTTP/1.1 599 x", fields: length, body: "hi"},
+	} {
+		i.answer = a
+		got, err := m.exchangeRaw(vm("beta"), fmt.Sprintf("raw-%d", n))
+		is.NoErr(err)
+		fmt.Fprintf(&out, "%s: %s\n", a.name, got)
+	}
+	golden.Check(t, "broken", out.String())
+	for _, b := range m.OwnEnds() {
+		t.Error(b)
+	}
+}
