Reject answers without a length that end with a reset during the upload

The client got that part as a complete answer.

Cause: the end of the connection ends such an answer, and Linux reports a reset only to the first system call after it. A goroutine of its own writes the request; when its write got the reset, the next read returned a regular end of file.

Change: at the end of such an answer the reader ends a write that still waits and takes the writer's result into account. Any error of the connection but a broken pipe makes the answer incomplete. This works because either the read or the write gets the error, and a broken pipe is only returned after a regular end, behind which a reset does not matter.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -278,7 +278,7 @@
 // stopWatch ends the goroutine that watches an idle connection, and reports
 // whether the connection is usable.
 func (cn *conn) stopWatch() bool {
-	if err := cn.net.SetReadDeadline(time.Unix(1, 0)); err != nil {
+	if err := cn.net.SetReadDeadline(expired); err != nil {
 		return false
 	}
 	<-cn.watchDone
@@ -292,8 +292,11 @@
 // whether another request may be sent on the connection.
 func (cn *conn) exchange(r *Request) (answer *message.Answer, reusable bool, err error) {
 	sent := make(chan error, 1)
-	go func() { sent <- cn.send(r) }()
-	answer, reusable, err = cn.receive(r)
+	go func() {
+		defer close(sent)
+		sent <- cn.send(r)
+	}()
+	answer, reusable, err = cn.receive(r, sent)
 	if err != nil {
 		cn.net.Close()
 		if sendErr := <-sent; sendErr != nil {
@@ -338,8 +341,9 @@
 }
 
 // receive reads responses until one is that of r. It gives up after
-// maxForeignAnswers responses to other requests.
-func (cn *conn) receive(r *Request) (*message.Answer, bool, error) {
+// maxForeignAnswers responses to other requests. The channel sent delivers the result
+// of the sending goroutine.
+func (cn *conn) receive(r *Request, sent <-chan error) (*message.Answer, bool, error) {
 	for range maxForeignAnswers + 1 {
 		resp, body, err := cn.readResponse(r)
 		if err != nil {
@@ -350,22 +354,41 @@
 			cn.memory.Release(body)
 			continue
 		}
-		if err := cn.check(resp, id, r); err != nil {
+		// The end of the connection marks the end of a response without a
+		// length.
+		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		err = cn.check(resp, id, r)
+		if err == nil && !framed && resp.Body != http.NoBody {
+			err = cn.checkEnd(sent)
+		}
+		if err != nil {
 			cn.memory.Release(body)
 			return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: err}
 		}
 		if limit, ok := platform.IdleTimeout(resp.Header); ok {
 			cn.idleLimit = min(maxIdle, max(limit-idleMargin, 0))
 		}
-		// The end of the connection marks the end of a response without a
-		// length.
-		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		reusable := framed && !resp.Close && cn.reader.Buffered() == 0
 		return &message.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
 	return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("answers to other requests")}
 }
 
+// checkEnd returns an error if the connection, at whose end the reader has arrived, did
+// not end regularly. It ends a send that still waits for the instance.
+func (cn *conn) checkEnd(sent <-chan error) error {
+	if err := cn.net.SetWriteDeadline(expired); err != nil {
+		return err
+	}
+	if err := <-sent; !link.IsRegularEnd(err) {
+		return fmt.Errorf("body without a length is incomplete: %w", err)
+	}
+	return nil
+}
+
+// expired is a deadline that ends a system call in progress.
+var expired = time.Unix(1, 0)
+
 // isForeign reports whether a response with the identifier id may be that of
 // another request. A response without an identifier may be a late one, or an
 // earlier one written again, unless it is the first on its connection.
--- a/standin/mesh/broken_test.go
+++ b/standin/mesh/broken_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -16,14 +17,15 @@
 	"cassiarack.example/lib/golden"
 )
 
-// rawInstance is an instance that writes its answers byte for byte.
+// rawInstance is an instance that writes its answers byte for byte. Its sidecar
+// reaches it without a proxy, so that a reset arrives as one.
 type rawInstance struct {
 	listener net.Listener
 	signer   *Instance
 	answer   brokenAnswer
 }
 
-// brokenAnswer is an answer that HTTP does not allow.
+// brokenAnswer is an answer that HTTP does not allow or that ends early.
 type brokenAnswer struct {
 	name string
 	// statusLine is the first line of the answer; empty means that of a success.
@@ -31,8 +33,18 @@
 	// fields are the header lines beside those that identify the answer.
 	fields string
 	body   string
+	// upload is the size of the request's body in bytes.
+	upload int
+	// resetAfter is the time from the answer, which the instance then sends before it
+	// has read the request's body, to a reset. Zero means that the connection closes
+	// regularly.
+	resetAfter time.Duration
 }
 
+// brokenRounds is how often each broken answer is sent, since the result may depend on
+// which goroutine of a sidecar learns of a reset.
+const brokenRounds = 8
+
 // startRawInstance replaces the proxy and the instance of a VM.
 func (m *Mesh) startRawInstance(v *VM) (*rawInstance, error) {
 	v.instanceProxy.Stop()
@@ -47,14 +59,14 @@
 			if err != nil {
 				return
 			}
-			i.serve(c)
+			i.serve(c.(*net.TCPConn))
 		}
 	}()
 	return i, nil
 }
 
 // serve reads one request and writes the answer.
-func (i *rawInstance) serve(c net.Conn) {
+func (i *rawInstance) serve(c *net.TCPConn) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -65,13 +77,22 @@
 	if status == "" {
 		status = "HTTP/1.1 200 OK"
 	}
-	// An error means that the sidecar closed the connection.
-	_, _ = io.WriteString(c, status+"\r\n"+i.signer.identityHeaders(r.Header.Get("X-Cassiarack-Attempt-Id"))+a.fields+"\r\n"+a.body)
+	text := status + "\r\n" + i.signer.identityHeaders(r.Header.Get("X-Cassiarack-Attempt-Id")) + a.fields + "\r\n" + a.body
+	if a.resetAfter == 0 {
+		// An error means that the sidecar closed the connection.
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, text)
+		return
+	}
+	if _, err := io.WriteString(c, text); err == nil {
+		time.Sleep(a.resetAfter)
+		_ = c.SetLinger(0)
+	}
 }
 
 // exchangeRaw sends a request that may run only once to the sidecar of a VM. It
 // returns the status line and the body that the client gets.
-func (m *Mesh) exchangeRaw(v *VM, attempt string) (string, error) {
+func (m *Mesh) exchangeRaw(v *VM, attempt string, upload int) (string, error) {
 	c, err := net.DialTimeout("tcp", m.address(v.Index, portCallers).String(), time.Second)
 	if err != nil {
 		return "", err
@@ -81,7 +102,8 @@
 		return "", err
 	}
 	if _, err := fmt.Fprintf(c, "POST /accept/x HTTP/1.1\r\nHost: mesh.example\r\nX-Cassiarack-Attempt-Id: %s\r\n"+
-		"X-Cassiarack-Deadline-Ms: 2000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", attempt); err != nil {
+		"X-Cassiarack-Deadline-Ms: 2000\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", attempt, upload,
+		largeBody(attempt, upload)); err != nil {
 		return "", err
 	}
 	text, err := io.ReadAll(c)
@@ -94,10 +116,12 @@
 }
 
 // TestBrokenAnswers guards against answers of a faulty instance that reach the client
-// as whole answers, through two sidecars: those with a status that does not exist.
+// as whole answers, through two sidecars: those with a status that does not exist, and
+// those without a length that end with a reset while the request is still being sent.
 func TestBrokenAnswers(t *testing.T) {
 	is := is.New(t)
-	m := &Mesh{Program: program, Folder: t.TempDir(), Services: map[string]int{"alpha": 1, "beta": 1}, Network: 96}
+	m := &Mesh{Program: program, Folder: t.TempDir(), Services: map[string]int{"alpha": 1, "beta": 1}, Network: 96,
+		MaxBodyBytes: 64 << 20}
 	defer m.Stop()
 	is.NoErr(m.Start(t.Context()))
 	vm := func(service string) *VM {
@@ -116,11 +140,18 @@
 		{name: "status 600", statusLine: "HTTP/1.1 600 x", fields: length, body: "hi"},
 		{name: "status 999", statusLine: "HTTP/1.1 999 x", fields: length, body: "hi"},
 		{name: "last status", statusLine: "HTTP/1.1 599 x", fields: length, body: "hi"},
+		{name: "no length", body: "hi"},
+		{name: "no length, reset during the upload", body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
+		{name: "length, reset during the upload", fields: length, body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
 	} {
 		i.answer = a
-		got, err := m.exchangeRaw(vm("beta"), fmt.Sprintf("raw-%d", n))
-		is.NoErr(err)
-		fmt.Fprintf(&out, "%s: %s\n", a.name, got)
+		results := make(map[string]bool)
+		for k := range brokenRounds {
+			got, err := m.exchangeRaw(vm("beta"), fmt.Sprintf("raw-%d-%d", n, k), a.upload)
+			is.NoErr(err)
+			results[got] = true
+		}
+		fmt.Fprintf(&out, "%s: %s\n", a.name, strings.Join(slices.Sorted(maps.Keys(results)), ", "))
 	}
 	golden.Check(t, "broken", out.String())
 	for _, b := range m.OwnEnds() {
