Reject answers of instances with malformed fields

Cause: net/http accepts spaces in field names and continued lines. The fields of such lines are not found under their names, so that "Content-Length : 2" or a continued line with it leaves a body without a length, which then lasts to the end of the connection. Control bytes in names and values were rejected already; the tests stay.

Change: answer.Scanner checks the bytes of a head as they arrive from the connection, as the parser keeps no trace of a continued line. Names that are no tokens and lines that begin with white space make the answer invalid. The scan begins with the bytes that are buffered already, so that it covers answers behind late and informational ones.

--- a/lib/answer/answer.go
+++ b/lib/answer/answer.go
@@ -7,8 +7,13 @@
 // Kind classifies an Error.
 type Kind string
 
-// KindStatus means that no final answer may have the status.
-const KindStatus Kind = "invalid status"
+// Kinds of errors.
+const (
+	// KindStatus means that no final answer may have the status.
+	KindStatus Kind = "invalid status"
+	// KindField means that a line of the head is no field.
+	KindField Kind = "invalid field"
+)
 
 // Error is the error type of this package.
 type Error struct {
--- /dev/null
+++ b/lib/answer/scanner.go
@@ -0,0 +1,127 @@
+package answer
+
+import (
+	"errors"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Scanner checks the bytes of the head of an answer as they arrive, with the heads of
+// informational answers before it. The bytes after the head are ignored. The zero value
+// is ready for the first byte of a status line. It is not safe for concurrent use.
+//
+// Unlike the parser of net/http, it accepts no field name with a space and no field
+// line that begins with white space. The parser does not find the fields of such lines,
+// so that a body whose length they state ends elsewhere.
+type Scanner struct {
+	position position
+	// column is the number of bytes of the status line that were scanned.
+	column int
+	// informational is set if the present head is that of an informational answer.
+	informational bool
+	err           error
+}
+
+// position is the place of the next byte in a head.
+type position int
+
+const (
+	inStatusLine position = iota
+	atLineStart
+	inName
+	inValue
+	// inLastLine is after the carriage return of the empty line that ends a head.
+	inLastLine
+	afterHead
+)
+
+// statusColumn is the place of the status in a status line, behind "HTTP/1.1 ".
+const statusColumn = 9
+
+// Causes of errors of KindField.
+var (
+	errName     = errors.New("the name of a field holds a byte that is not allowed")
+	errNoName   = errors.New("a field has no name")
+	errFolded   = errors.New("a field line begins with white space")
+	errLastLine = errors.New("a carriage return stands alone")
+)
+
+// Scan checks the next bytes.
+func (s *Scanner) Scan(p []byte) {
+	for _, b := range p {
+		if s.position == afterHead || s.err != nil {
+			return
+		}
+		s.scanByte(b)
+	}
+}
+
+// Err returns an error of KindField if the head is malformed as far as it was scanned.
+func (s *Scanner) Err() error {
+	if s.err == nil {
+		return nil
+	}
+	return &Error{Op: "scan head", Kind: KindField, Err: s.err}
+}
+
+func (s *Scanner) scanByte(b byte) {
+	switch s.position {
+	case inStatusLine:
+		if s.column == statusColumn {
+			s.informational = b == '1'
+		}
+		s.column++
+		if b == '\n' {
+			s.position = atLineStart
+		}
+	case atLineStart:
+		s.startLine(b)
+	case inName:
+		s.scanName(b)
+	case inValue:
+		if b == '\n' {
+			s.position = atLineStart
+		}
+	case inLastLine:
+		if b != '\n' {
+			s.err = errLastLine
+			return
+		}
+		s.endHead()
+	}
+}
+
+// startLine handles the first byte of a line behind the status line.
+func (s *Scanner) startLine(b byte) {
+	switch b {
+	case ' ', '\t':
+		s.err = errFolded
+	case ':':
+		s.err = errNoName
+	case '\r':
+		s.position = inLastLine
+	case '\n':
+		s.endHead()
+	default:
+		s.position = inName
+		s.scanName(b)
+	}
+}
+
+func (s *Scanner) scanName(b byte) {
+	switch {
+	case b == ':':
+		s.position = inValue
+	case !httpguts.IsTokenRune(rune(b)):
+		s.err = errName
+	}
+}
+
+// endHead ends the scan, unless the head is that of an informational answer.
+func (s *Scanner) endHead() {
+	if s.informational {
+		*s = Scanner{}
+		return
+	}
+	s.position = afterHead
+}
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -125,10 +125,12 @@
 	idle []*conn
 }
 
-// boundedReader returns errTooLong once allowed bytes were read.
+// boundedReader returns errTooLong once allowed bytes were read. It scans the heads of
+// responses.
 type boundedReader struct {
 	source  io.Reader
 	allowed int64
+	head    answer.Scanner
 }
 
 // errTooLong means that a head or the encoding of a body exceeds its bound.
@@ -141,6 +143,7 @@
 	}
 	n, err := b.source.Read(p[:min(int64(len(p)), b.allowed)])
 	b.allowed -= int64(n)
+	b.head.Scan(p[:n])
 	return n, err
 }
 
@@ -420,6 +423,9 @@
 // readResponse reads the next response and its body, and skips up to
 // maxInformational informational responses (1xx).
 func (cn *conn) readResponse(r *Request) (*http.Response, []byte, error) {
+	if err := cn.startHead(); err != nil {
+		return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: err}
+	}
 	for range maxInformational + 1 {
 		cn.in.allowed = maxHead
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
@@ -430,6 +436,9 @@
 			}
 			return nil, nil, &Error{Op: "read", Kind: kind, Err: err}
 		}
+		if err := cn.in.head.Err(); err != nil {
+			return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: err}
+		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
@@ -448,6 +457,15 @@
 	return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("too many informational responses")}
 }
 
+// startHead prepares to scan the head of the next response, of which bytes may be
+// buffered already.
+func (cn *conn) startHead() error {
+	cn.in.head = answer.Scanner{}
+	buffered, err := cn.reader.Peek(cn.reader.Buffered())
+	cn.in.head.Scan(buffered)
+	return err
+}
+
 // isConnectionLost reports whether err means that the connection ended, rather
 // than that the response is malformed.
 func isConnectionLost(err error) bool {
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -115,6 +115,13 @@
 		{"status 000", "HTTP/1.1 000 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
 		{"status 099", "HTTP/1.1 099 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
 		{"status 600", "HTTP/1.1 600 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
+		{"space in a field name", ok + idA + signed + "X Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{"space behind a field name", ok + idA + signed + "Content-Length : 2\r\nConnection: close\r\n\r\nhi!"},
+		{"space before a field name", ok + idA + signed + "Connection: close\r\n Content-Length: 2\r\n\r\nhi!"},
+		{"control byte in a field name", ok + idA + signed + "X\x01Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{"space in a field name of a late answer", ok + idB + "X Other: 1\r\nContent-Length: 0\r\n\r\n" + whole},
+		{"space in a field name after a late answer", ok + idB + "Content-Length: 0\r\n\r\n" + ok + idA + signed + "X Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{"space in a field name of an informational response", "HTTP/1.1 103 x\r\nX Other: 1\r\n\r\n" + whole},
 		{"conflicting lengths", ok + idA + signed + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi"},
 	}
 	var b strings.Builder
--- a/standin/mesh/broken_test.go
+++ b/standin/mesh/broken_test.go
@@ -116,8 +116,9 @@
 }
 
 // TestBrokenAnswers guards against answers of a faulty instance that reach the client
-// as whole answers, through two sidecars: those with a status that does not exist, and
-// those without a length that end with a reset while the request is still being sent.
+// as whole answers, through two sidecars: those with a status that does not exist, those
+// with a malformed field, whose body may end elsewhere, and those without a length that
+// end with a reset while the request is still being sent.
 func TestBrokenAnswers(t *testing.T) {
 	is := is.New(t)
 	m := &Mesh{Program: program, Folder: t.TempDir(), Services: map[string]int{"alpha": 1, "beta": 1}, Network: 96,
@@ -140,6 +141,16 @@
 		{name: "status 600", statusLine: "HTTP/1.1 600 x", fields: length, body: "hi"},
 		{name: "status 999", statusLine: "HTTP/1.1 999 x", fields: length, body: "hi"},
 		{name: "last status", statusLine: "HTTP/1.1 599 x", fields: length, body: "hi"},
+		{name: "space in a field name", fields: length + "X Other: 1\r\n", body: "hi"},
+		{name: "space behind a field name", fields: "Content-Length : 2\r\n", body: "hi!"},
+		{name: "tab behind a field name", fields: "Content-Length\t: 2\r\n", body: "hi!"},
+		{name: "space before a field name", fields: "X-Other: 1\r\n Content-Length: 2\r\n", body: "hi!"},
+		{name: "tab before a field name", fields: "X-Other: 1\r\n\tContent-Length: 2\r\n", body: "hi!"},
+		{name: "NUL in a field name", fields: length + "X\x00Other: 1\r\n", body: "hi"},
+		{name: "control byte in a field name", fields: length + "X\x01Other: 1\r\n", body: "hi"},
+		{name: "carriage return in a field name", fields: length + "X\rOther: 1\r\n", body: "hi"},
+		{name: "DEL in a field name", fields: length + "X\x7fOther: 1\r\n", body: "hi"},
+		{name: "control byte in a field value", fields: length + "X-Other: a\x01b\r\n", body: "hi"},
 		{name: "no length", body: "hi"},
 		{name: "no length, reset during the upload", body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
 		{name: "length, reset during the upload", fields: length, body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
