Reject answers of instances that switch the protocol

An instance sent 101 and then bytes that look like an answer; the client got these as its answer.

Cause: package backend skipped all answers with a status 1xx. What follows a 101 is another protocol, though, and a sidecar never asks for one, as it does not forward Upgrade.

Change: 101 is not skipped, and so is rejected as a status that no final answer has.

A 103 before an answer is still skipped.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -439,7 +439,9 @@
 		if err := cn.in.head.Err(); err != nil {
 			return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: err}
 		}
-		if resp.StatusCode/100 == 1 {
+		// The bytes after a switch of the protocol, which no request asks for, are no
+		// HTTP.
+		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
 		if err := answer.CheckStatus(resp.StatusCode); err != nil {
--- a/standin/mesh/broken_test.go
+++ b/standin/mesh/broken_test.go
@@ -41,6 +41,10 @@
 	resetAfter time.Duration
 }
 
+// attemptOfBody stands for the identifier of the request in the body of a
+// brokenAnswer.
+const attemptOfBody = "{attempt}"
+
 // brokenRounds is how often each broken answer is sent, since the result may depend on
 // which goroutine of a sidecar learns of a reset.
 const brokenRounds = 8
@@ -77,7 +81,8 @@
 	if status == "" {
 		status = "HTTP/1.1 200 OK"
 	}
-	text := status + "\r\n" + i.signer.identityHeaders(r.Header.Get("X-Cassiarack-Attempt-Id")) + a.fields + "\r\n" + a.body
+	attempt := r.Header.Get("X-Cassiarack-Attempt-Id")
+	text := status + "\r\n" + i.signer.identityHeaders(attempt) + a.fields + "\r\n" + strings.ReplaceAll(a.body, attemptOfBody, attempt)
 	if a.resetAfter == 0 {
 		// An error means that the sidecar closed the connection.
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -141,6 +146,8 @@
 		{name: "status 600", statusLine: "HTTP/1.1 600 x", fields: length, body: "hi"},
 		{name: "status 999", statusLine: "HTTP/1.1 999 x", fields: length, body: "hi"},
 		{name: "last status", statusLine: "HTTP/1.1 599 x", fields: length, body: "hi"},
+		{name: "switch of the protocol", statusLine: "HTTP/1.1 101 x", body: "HTTP/1.1 200 OK\r\n" +
+			"X-Cassiarack-Response-Signature: s\r\nX-Cassiarack-Attempt-Id: " + attemptOfBody + "\r\nContent-Length: 2\r\n\r\nhi"},
 		{name: "space in a field name", fields: length + "X Other: 1\r\n", body: "hi"},
 		{name: "space behind a field name", fields: "Content-Length : 2\r\n", body: "hi!"},
 		{name: "tab behind a field name", fields: "Content-Length\t: 2\r\n", body: "hi!"},
