Reject answers of instances with another version than HTTP/1.x

An answer that began with "HTTP/2.0 200 OK" or "HTTP/0.9 200 OK" was passed on.

Cause: the parser of net/http accepts any digits as the version, and package backend did not look at it. Such a line is none of HTTP/1.1; what follows may be read in another way.

Change: answer.Scanner checks the version, as it sees each status line.

Evidence: before the change TestBrokenAnswers showed "200 OK" for both at the client of two real sidecars, and TestAnswers the same in package backend; both failed against the golden files of this commit. HTTP/1.0 is still accepted.

--- a/lib/answer/answer.go
+++ b/lib/answer/answer.go
@@ -11,8 +11,8 @@
 const (
 	// KindStatus means that no final answer may have the status.
 	KindStatus Kind = "invalid status"
-	// KindField means that a line of the head is no field.
-	KindField Kind = "invalid field"
+	// KindMalformed means that a line of the head is not allowed.
+	KindMalformed Kind = "malformed head"
 )
 
 // Error is the error type of this package.
--- a/lib/answer/scanner.go
+++ b/lib/answer/scanner.go
@@ -10,9 +10,9 @@
 // informational answers before it. The bytes after the head are ignored. The zero value
 // is ready for the first byte of a status line. It is not safe for concurrent use.
 //
-// Unlike the parser of net/http, it accepts no field name with a space and no field
-// line that begins with white space. The parser does not find the fields of such lines,
-// so that a body whose length they state ends elsewhere.
+// Unlike the parser of net/http, it accepts no other version than HTTP/1.x, no field name
+// with a space and no field line that begins with white space. The parser does not find
+// the fields of such lines, so that a body whose length they state ends elsewhere.
 type Scanner struct {
 	position position
 	// column is the number of bytes of the status line that were scanned.
@@ -35,11 +35,16 @@
 	afterHead
 )
 
-// statusColumn is the place of the status in a status line, behind "HTTP/1.1 ".
-const statusColumn = 9
+const (
+	// version begins each status line. The minor version follows.
+	version = "HTTP/1."
+	// statusColumn is the place of the status in a status line, behind "HTTP/1.1 ".
+	statusColumn = 9
+)
 
-// Causes of errors of KindField.
+// Causes of errors of KindMalformed.
 var (
+	errVersion  = errors.New("the version is not HTTP/1.x")
 	errName     = errors.New("the name of a field holds a byte that is not allowed")
 	errNoName   = errors.New("a field has no name")
 	errFolded   = errors.New("a field line begins with white space")
@@ -56,24 +61,18 @@
 	}
 }
 
-// Err returns an error of KindField if the head is malformed as far as it was scanned.
+// Err returns an error of KindMalformed if the head is malformed as far as it was scanned.
 func (s *Scanner) Err() error {
 	if s.err == nil {
 		return nil
 	}
-	return &Error{Op: "scan head", Kind: KindField, Err: s.err}
+	return &Error{Op: "scan head", Kind: KindMalformed, Err: s.err}
 }
 
 func (s *Scanner) scanByte(b byte) {
 	switch s.position {
 	case inStatusLine:
-		if s.column == statusColumn {
-			s.informational = b == '1'
-		}
-		s.column++
-		if b == '\n' {
-			s.position = atLineStart
-		}
+		s.scanStatusLine(b)
 	case atLineStart:
 		s.startLine(b)
 	case inName:
@@ -91,6 +90,18 @@
 	}
 }
 
+func (s *Scanner) scanStatusLine(b byte) {
+	switch {
+	case b == '\n':
+		s.position = atLineStart
+	case s.column < len(version) && b != version[s.column]:
+		s.err = errVersion
+	case s.column == statusColumn:
+		s.informational = b == '1'
+	}
+	s.column++
+}
+
 // startLine handles the first byte of a line behind the status line.
 func (s *Scanner) startLine(b byte) {
 	switch b {
--- a/lib/answer/scanner_test.go
+++ b/lib/answer/scanner_test.go
@@ -8,7 +8,7 @@
 	"cassiarack.example/lib/golden"
 )
 
-// TestScanner guards against heads that the scanner accepts although their fields are
+// TestScanner guards against heads that the scanner accepts although they are
 // malformed, heads that it rejects because of bytes that belong to a value or to the
 // body, and results that depend on how the bytes arrive.
 func TestScanner(t *testing.T) {
@@ -21,6 +21,9 @@
 		{"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi"},
 		{"empty value", first + "X-Other:\r\n\r\n"},
 		{"bytes of the body", first + "Content-Length: 9\r\n\r\n X Y: 1\r\n"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nhi"},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nhi"},
+		{"no version", "\x00\x01\r\n\r\n"},
 		{"space in a name", first + "X Other: 1\r\n\r\n"},
 		{"space behind a name", first + "Content-Length : 2\r\n\r\nhi"},
 		{"tab behind a name", first + "Content-Length\t: 2\r\n\r\nhi"},
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -116,6 +116,8 @@
 		{"status 099", "HTTP/1.1 099 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
 		{"status 600", "HTTP/1.1 600 x\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
 		{"switch of the protocol", "HTTP/1.1 101 x\r\n\r\n" + whole},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + idA + signed + "Content-Length: 2\r\nConnection: close\r\n\r\nhi"},
 		{"space in a field name", ok + idA + signed + "X Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{"space behind a field name", ok + idA + signed + "Content-Length : 2\r\nConnection: close\r\n\r\nhi!"},
 		{"space before a field name", ok + idA + signed + "Connection: close\r\n Content-Length: 2\r\n\r\nhi!"},
--- a/standin/mesh/broken_test.go
+++ b/standin/mesh/broken_test.go
@@ -148,6 +148,9 @@
 		{name: "last status", statusLine: "HTTP/1.1 599 x", fields: length, body: "hi"},
 		{name: "switch of the protocol", statusLine: "HTTP/1.1 101 x", body: "HTTP/1.1 200 OK\r\n" +
 			"X-Cassiarack-Response-Signature: s\r\nX-Cassiarack-Attempt-Id: " + attemptOfBody + "\r\nContent-Length: 2\r\n\r\nhi"},
+		{name: "HTTP/2.0", statusLine: "HTTP/2.0 200 OK", fields: length, body: "hi"},
+		{name: "HTTP/0.9", statusLine: "HTTP/0.9 200 OK", fields: length, body: "hi"},
+		{name: "HTTP/1.0", statusLine: "HTTP/1.0 200 OK", fields: length, body: "hi"},
 		{name: "space in a field name", fields: length + "X Other: 1\r\n", body: "hi"},
 		{name: "space behind a field name", fields: "Content-Length : 2\r\n", body: "hi!"},
 		{name: "tab behind a field name", fields: "Content-Length\t: 2\r\n", body: "hi!"},
