Reject HTTP/1.0 answers of instances with a Transfer-Encoding

The client got 200 with a body that was not the instance's: the sizes of the chunks stood in it.

Cause: HTTP/1.0 has no Transfer-Encoding. The parser of net/http drops the field and takes all bytes up to the end of the connection for the body.

Change: answer.Scanner rejects such a head, as the parsed one keeps no trace of the field. RFC 9112, section 6.1, calls its framing faulty.

--- a/lib/answer/scanner.go
+++ b/lib/answer/scanner.go
@@ -12,11 +12,18 @@
 //
 // Unlike the parser of net/http, it accepts no other version than HTTP/1.x, no field name
 // with a space and no field line that begins with white space. The parser does not find
-// the fields of such lines, so that a body whose length they state ends elsewhere.
+// the fields of such lines, so that a body whose length they state ends elsewhere. It
+// also takes the body of an HTTP/1.0 answer with a Transfer-Encoding as it stands; such
+// an answer is not accepted either (RFC 9112, section 6.1).
 type Scanner struct {
 	position position
 	// column is the number of bytes of the status line that were scanned.
 	column int
+	// minorVersion is the digit behind version.
+	minorVersion byte
+	// matched is the number of bytes of the present name that are those of
+	// transferEncoding, or -1 if the name differs.
+	matched int
 	// informational is set if the present head is that of an informational answer.
 	informational bool
 	err           error
@@ -38,6 +45,9 @@
 const (
 	// version begins each status line. The minor version follows.
 	version = "HTTP/1."
+	// transferEncoding is the name of a field in lower case that HTTP/1.0 does not
+	// have.
+	transferEncoding = "transfer-encoding"
 	// statusColumn is the place of the status in a status line, behind "HTTP/1.1 ".
 	statusColumn = 9
 )
@@ -48,6 +58,7 @@
 	errName     = errors.New("the name of a field holds a byte that is not allowed")
 	errNoName   = errors.New("a field has no name")
 	errFolded   = errors.New("a field line begins with white space")
+	errCoding   = errors.New("an HTTP/1.0 answer has a Transfer-Encoding")
 	errLastLine = errors.New("a carriage return stands alone")
 )
 
@@ -96,6 +107,8 @@
 		s.position = atLineStart
 	case s.column < len(version) && b != version[s.column]:
 		s.err = errVersion
+	case s.column == len(version):
+		s.minorVersion = b
 	case s.column == statusColumn:
 		s.informational = b == '1'
 	}
@@ -114,18 +127,32 @@
 	case '\n':
 		s.endHead()
 	default:
-		s.position = inName
+		s.position, s.matched = inName, 0
 		s.scanName(b)
 	}
 }
 
 func (s *Scanner) scanName(b byte) {
 	switch {
+	case b == ':' && s.minorVersion == '0' && s.matched == len(transferEncoding):
+		s.err = errCoding
 	case b == ':':
 		s.position = inValue
 	case !httpguts.IsTokenRune(rune(b)):
 		s.err = errName
+	case s.matched >= 0 && s.matched < len(transferEncoding) && lower(b) == transferEncoding[s.matched]:
+		s.matched++
+	default:
+		s.matched = -1
+	}
+}
+
+// lower returns the lower case of an ASCII letter, and other bytes unchanged.
+func lower(b byte) byte {
+	if 'A' <= b && b <= 'Z' {
+		return b + 'a' - 'A'
 	}
+	return b
 }
 
 // endHead ends the scan, unless the head is that of an informational answer.
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -118,6 +118,7 @@
 		{"switch of the protocol", "HTTP/1.1 101 x\r\n\r\n" + whole},
 		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + idA + signed + "Content-Length: 2\r\n\r\nhi"},
 		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + idA + signed + "Content-Length: 2\r\nConnection: close\r\n\r\nhi"},
+		{"HTTP/1.0 in chunks", "HTTP/1.0 200 OK\r\n" + idA + signed + "transfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
 		{"space in a field name", ok + idA + signed + "X Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{"space behind a field name", ok + idA + signed + "Content-Length : 2\r\nConnection: close\r\n\r\nhi!"},
 		{"space before a field name", ok + idA + signed + "Connection: close\r\n Content-Length: 2\r\n\r\nhi!"},
--- a/standin/mesh/broken_test.go
+++ b/standin/mesh/broken_test.go
@@ -151,6 +151,7 @@
 		{name: "HTTP/2.0", statusLine: "HTTP/2.0 200 OK", fields: length, body: "hi"},
 		{name: "HTTP/0.9", statusLine: "HTTP/0.9 200 OK", fields: length, body: "hi"},
 		{name: "HTTP/1.0", statusLine: "HTTP/1.0 200 OK", fields: length, body: "hi"},
+		{name: "HTTP/1.0 in chunks", statusLine: "HTTP/1.0 200 OK", fields: "Transfer-Encoding: chunked\r\n", body: "2\r\nhi\r\n0\r\n\r\n"},
 		{name: "space in a field name", fields: length + "X Other: 1\r\n", body: "hi"},
 		{name: "space behind a field name", fields: "Content-Length : 2\r\n", body: "hi!"},
 		{name: "tab behind a field name", fields: "Content-Length\t: 2\r\n", body: "hi!"},
