Reject answers with a status that does not exist at the gate of a node

The gate of cassiarack-node passed answers with status 000, 099, 600 and 101 on to the entry.

What callers saw: after 000, 099 and 101 the connection ended without an answer, as net/http panics when it is asked to write such a head; 600 reached the caller with outcome "complete" (both seen in a trial of writeAnswer).

Cause: as in the sidecar, net/http accepts these statuses, and its transport returns a 101 although the request did not ask for another protocol.

Change: the gate applies answer.CheckStatus. The call counts as lost, the instance as failing, and the caller gets 502 with outcome "unknown".

Evidence: TestBrokenAnswers of package gate showed "head 0", "head 99", "head 600" and "head 101" before the change and failed against the golden file of this commit.

--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"cassiarack.example/lib/answer"
 	"cassiarack.example/lib/decision/handover"
 	"cassiarack.example/lib/decision/slot"
 	"cassiarack.example/lib/request"
@@ -279,6 +280,9 @@
 		return x.callFailure(err, p.notRun())
 	}
 	defer res.Body.Close()
+	if err := answer.CheckStatus(res.StatusCode); err != nil {
+		return x.callFailure(err, false)
+	}
 	observation.answered(res.StatusCode)
 	down := &wire.Down{Kind: &wire.Down_Head{Head: &wire.ResponseHead{
 		Status:        uint32(res.StatusCode),
