Detect resets during the upload at the gate of a node

A backend server answered an upload at once without a length, sent part of its body and reset the connection; the gate of cassiarack-node passed that part on as a whole answer.

Cause: as in the sidecar, the kernel reports the reset to the goroutine of net/http that writes the request, and the read after it returns a regular end of file, which ends an answer without a length.

Change: trackedConn keeps the first error of a write. A read that gets an end of file ends a write that still waits, waits for its result and returns an error unless the end was regular. net/http sends nothing more after an end of file, so no upload is cut that would have gone on.

--- a/lib/service/gate/broken_test.go
+++ b/lib/service/gate/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -47,3 +48,63 @@
 	}
 	golden.Check(t, "broken", out.String())
 }
+
+// resetRounds is the number of exchanges of each case of TestResetDuringUpload, since
+// the result depends on which goroutine learns of the reset.
+const resetRounds = 10
+
+// TestResetDuringUpload guards against a part of an answer without a length that the
+// gate passes on as a whole one: the backend server resets the connection while the
+// body of the request is still being written, and the write gets the error, so that
+// the reader sees a regular end.
+func TestResetDuringUpload(t *testing.T) {
+	var out strings.Builder
+	for _, c := range []struct {
+		name string
+		end  func(*net.TCPConn)
+	}{
+		{"reset", func(c *net.TCPConn) { c.SetLinger(0) }},
+		{"close with unread bytes", func(*net.TCPConn) {}},
+		{"regular close, reads on", func(c *net.TCPConn) {
+			c.CloseWrite()
+			io.Copy(io.Discard, c)
+		}},
+		{"regular close, does not read", func(c *net.TCPConn) {
+			c.CloseWrite()
+			time.Sleep(50 * time.Millisecond)
+		}},
+	} {
+		b := newTestGate(t, func(w http.ResponseWriter, _ *http.Request) {
+			raw, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer raw.Close()
+			io.WriteString(raw, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			time.Sleep(5 * time.Millisecond)
+			c.end(raw.(*net.TCPConn))
+		})
+		whole := 0
+		for range resetRounds {
+			if b.upload() {
+				whole++
+			}
+		}
+		fmt.Fprintf(&out, "%s: %d of %d answers\n", c.name, whole, resetRounds)
+	}
+	golden.Check(t, "reset", out.String())
+}
+
+// upload sends a request with an endless body. It reports whether the answer came to
+// its end.
+func (b *testGate) upload() bool {
+	e := b.entry()
+	defer e.cancel()
+	e.reserve(true, -1, time.Minute)
+	go func() {
+		up := strings.Repeat("x", 32<<10)
+		for b.t.Context().Err() == nil && e.chunk(up) == nil {
+		}
+	}()
+	return strings.HasSuffix(e.remainingMessages(), "end 0 trailers")
+}
--- a/lib/service/gate/gate_test.go
+++ b/lib/service/gate/gate_test.go
@@ -178,8 +178,8 @@
 	e.stream.Send(&wire.Up{Kind: &wire.Up_Commit{Commit: &wire.Commit{Grant: e.grant, Head: requestHead(length)}}})
 }
 
-func (e *entry) chunk(s string) {
-	e.stream.Send(&wire.Up{Kind: &wire.Up_Chunk{Chunk: &wire.Chunk{Data: []byte(s)}}})
+func (e *entry) chunk(s string) error {
+	return e.stream.Send(&wire.Up{Kind: &wire.Up_Chunk{Chunk: &wire.Chunk{Data: []byte(s)}}})
 }
 
 // nextMessage receives the next message of the gate and describes it.
--- a/lib/service/gate/trackedconn.go
+++ b/lib/service/gate/trackedconn.go
@@ -3,22 +3,30 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
+
+	"cassiarack.example/lib/link"
 )
 
 var errSealed = errors.New("connection given up before anything was sent")
 
 // trackedConn is a connection to a backend server that records whether a request
-// may have been sent on it.
+// may have been sent on it, and how the last write ended.
 type trackedConn struct {
 	net.Conn
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+
+	// writing is held during a write. It guards writeErr, the first error of a write.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // Write implements net.Conn. It returns errSealed after the connection was sealed.
@@ -30,7 +38,33 @@
 	}
 	l.writes++
 	l.mu.Unlock()
-	return l.Conn.Write(p)
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	n, err := l.Conn.Write(p)
+	if l.writeErr == nil {
+		l.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. It returns io.EOF only if the connection ended regularly,
+// since the end of the connection ends an answer without a length.
+func (l *trackedConn) Read(p []byte) (int, error) {
+	n, err := l.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	// Ends a write that waits for the backend server. After the end of the connection
+	// net/http sends no more of the request.
+	if err := l.Conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return n, err
+	}
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if !link.IsRegularEnd(l.writeErr) {
+		return n, fmt.Errorf("answer is incomplete: %w", l.writeErr)
+	}
+	return n, err
 }
 
 func (l *trackedConn) writeCount() uint64 {
