Reject malformed heads at the gate of a node

The gate of cassiarack-node passed answers on whose field names held a space, whose field lines began with white space, whose version was HTTP/2.0, or that were HTTP/1.0 with a Transfer-Encoding. Bodies after "Content-Length : 2" and of the last kind were not those of the backend server.

Cause: the gate took the head as the parser of net/http returns it, which accepts these heads and keeps no trace of some.

Change: trackedConn scans the bytes of each head with answer.Scanner, from the moment at which net/http has chosen the connection for a request. The gate looks at the result together with the status, before it passes anything on.

A control byte in a name was rejected already. A space in the name of a trailer still passes the gate; the writer of net/http leaves the field out at the entry.

--- a/lib/service/gate/broken_test.go
+++ b/lib/service/gate/broken_test.go
@@ -40,6 +40,13 @@
 		{"status 099", "HTTP/1.1 099 x\r\n" + length + "\r\nhi"},
 		{"status 600", "HTTP/1.1 600 x\r\n" + length + "\r\nhi"},
 		{"switch of the protocol", "HTTP/1.1 101 x\r\n\r\n" + first + length + "\r\nhi"},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + length + "\r\nhi"},
+		{"HTTP/1.0 in chunks", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
+		{"space in a field name", first + length + "X Other: 1\r\n\r\nhi"},
+		{"space behind a field name", first + "Content-Length : 2\r\n\r\nhi!"},
+		{"space before a field name", first + "X-Other: 1\r\n Content-Length: 2\r\n\r\nhi!"},
+		{"control byte in a field name", first + length + "X\x01Other: 1\r\n\r\nhi"},
+		{"space in the name of a trailer", first + "Trailer: X Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX Sum: 1\r\n\r\n"},
 	} {
 		b := newTestGate(t, sendRaw(c.text))
 		e := b.entry()
--- a/lib/service/gate/exchange.go
+++ b/lib/service/gate/exchange.go
@@ -14,7 +14,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"cassiarack.example/lib/answer"
 	"cassiarack.example/lib/decision/handover"
 	"cassiarack.example/lib/decision/slot"
 	"cassiarack.example/lib/request"
@@ -280,7 +279,7 @@
 		return x.callFailure(err, p.notRun())
 	}
 	defer res.Body.Close()
-	if err := answer.CheckStatus(res.StatusCode); err != nil {
+	if err := p.check(res.StatusCode); err != nil {
 		return x.callFailure(err, false)
 	}
 	observation.answered(res.StatusCode)
--- a/lib/service/gate/trackedconn.go
+++ b/lib/service/gate/trackedconn.go
@@ -11,18 +11,21 @@
 	"sync"
 	"time"
 
+	"cassiarack.example/lib/answer"
 	"cassiarack.example/lib/link"
 )
 
 var errSealed = errors.New("connection given up before anything was sent")
 
 // trackedConn is a connection to a backend server that records whether a request
-// may have been sent on it, and how the last write ended.
+// may have been sent on it and how the last write ended, and that scans the heads of
+// answers.
 type trackedConn struct {
 	net.Conn
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	head   answer.Scanner
 
 	// writing is held during a write. It guards writeErr, the first error of a write.
 	writing  sync.Mutex
@@ -51,6 +54,9 @@
 // since the end of the connection ends an answer without a length.
 func (l *trackedConn) Read(p []byte) (int, error) {
 	n, err := l.Conn.Read(p)
+	l.mu.Lock()
+	l.head.Scan(p[:n])
+	l.mu.Unlock()
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -67,12 +73,24 @@
 	return n, err
 }
 
-func (l *trackedConn) writeCount() uint64 {
+// startCall prepares to scan the head of the answer to the next request. It returns the
+// write count. No bytes of an earlier answer follow, since net/http does not use a
+// connection again before it has read all of them.
+func (l *trackedConn) startCall() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.head = answer.Scanner{}
 	return l.writes
 }
 
+// headErr returns the error of the answer's head, if any. Call it after net/http has
+// read the head.
+func (l *trackedConn) headErr() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.head.Err()
+}
+
 // sealIfUnused reports whether the write count is still start, that is, whether
 // nothing was written since then. If so, it makes later writes fail, because
 // net/http may still write shortly after its call has returned.
@@ -117,7 +135,7 @@
 			p.untracked = true
 			return
 		}
-		p.conn, p.writesBefore = l, l.writeCount()
+		p.conn, p.writesBefore = l, l.startCall()
 	}}
 }
 
@@ -129,6 +147,19 @@
 	return !p.untracked && (p.conn == nil || p.conn.sealIfUnused(p.writesBefore))
 }
 
+// check returns an error if no client may get an answer with this status or the head
+// that has arrived.
+func (p *callProgress) check(status int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		if err := p.conn.headErr(); err != nil {
+			return err
+		}
+	}
+	return answer.CheckStatus(status)
+}
+
 // emptyBody is used as the body of a request that has none. When a connection is
 // lost, net/http retries a request by itself if its method is GET, HEAD or OPTIONS
 // and it has no body. An emptyBody prevents this, because net/http finds that it
