Reject broken answers that another sidecar passes on

The entry takes answers from the sidecars beside the instances, which may run an earlier version during a rolling restart. It passed on an answer without a status as "HTTP/1.1 0 ", and answers with a field name that is no token.

Cause: the entry trusted the status and the fields of a reply.

Change: an answer in a reply passes the same checks as one from an instance, as far as a parsed head allows. Otherwise it counts as none from an instance that may have run the request: 502, or another instance if the request may be repeated.

Evidence: before the change seven new cases of TestOutcomes failed with status 0, 600 or 200 in place of 502. A continued line or a reset leaves no trace in a reply, so these are found only by the sidecar beside the instance.

--- a/lib/answer/answer.go
+++ b/lib/answer/answer.go
@@ -2,7 +2,11 @@
 // some heads that HTTP does not allow.
 package answer
 
-import "fmt"
+import (
+	"fmt"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // Kind classifies an Error.
 type Kind string
@@ -11,7 +15,7 @@
 const (
 	// KindStatus means that no final answer may have the status.
 	KindStatus Kind = "invalid status"
-	// KindMalformed means that a line of the head is not allowed.
+	// KindMalformed means that a line of the head, or a part of it, is not allowed.
 	KindMalformed Kind = "malformed head"
 )
 
@@ -42,3 +46,11 @@
 	}
 	return nil
 }
+
+// CheckName returns an error of KindMalformed unless a field may have the name.
+func CheckName(name string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return &Error{Op: "check name", Kind: KindMalformed, Err: fmt.Errorf("%w: %q", errName, name)}
+	}
+	return nil
+}
--- a/lib/answer/scanner.go
+++ b/lib/answer/scanner.go
@@ -55,8 +55,7 @@
 // Causes of errors of KindMalformed.
 var (
 	errVersion  = errors.New("the version is not HTTP/1.x")
-	errName     = errors.New("the name of a field holds a byte that is not allowed")
-	errNoName   = errors.New("a field has no name")
+	errName     = errors.New("the name of a field is not allowed")
 	errFolded   = errors.New("a field line begins with white space")
 	errCoding   = errors.New("an HTTP/1.0 answer has a Transfer-Encoding")
 	errLastLine = errors.New("a carriage return stands alone")
@@ -121,7 +120,7 @@
 	case ' ', '\t':
 		s.err = errFolded
 	case ':':
-		s.err = errNoName
+		s.err = errName
 	case '\r':
 		s.position = inLastLine
 	case '\n':
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -93,9 +93,17 @@
 	return &wire.RunReply{Outcome: outcome, Status: status, Reason: reason}
 }
 
+// answerWithField returns a reply with an answer that has a field of the given name.
+func answerWithField(name string) *wire.RunReply {
+	r := reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, http.StatusOK, "")
+	r.Headers = []*wire.HeaderField{{Name: []byte(name), Value: []byte("2")}}
+	return r
+}
+
 // TestOutcomes guards against a second run of a request that is not idempotent,
-// against more attempts than the route allows, and against an answer that says
-// that a request did not run although it may have run.
+// against more attempts than the route allows, against an answer that says
+// that a request did not run although it may have run, and against broken answers
+// that another sidecar passes on.
 func TestOutcomes(t *testing.T) {
 	const (
 		answered = wire.RunOutcome_RUN_OUTCOME_ANSWERED
@@ -112,6 +120,14 @@
 		offers int
 	}{
 		{"answer", false, reply(answered, 200, ""), nil, 200, 1},
+		{"answer without a status runs once", false, reply(answered, 0, ""), nil, http.StatusBadGateway, 1},
+		{"answer without a status is repeated", true, reply(answered, 0, ""), nil, http.StatusBadGateway, 2},
+		{"answer with an invalid status", false, reply(answered, 600, ""), nil, http.StatusBadGateway, 1},
+		{"answer with a space in a field name", false, answerWithField("X Other"), nil, http.StatusBadGateway, 1},
+		{"answer with a space behind a field name", false, answerWithField("Content-Length "), nil, http.StatusBadGateway, 1},
+		{"answer with a line feed in a field name", false, answerWithField("X\nOther"), nil, http.StatusBadGateway, 1},
+		{"answer with a field without a name", false, answerWithField(""), nil, http.StatusBadGateway, 1},
+		{"answer with a field", false, answerWithField("X-Other"), nil, 200, 1},
 		{"failure runs once", false, reply(answered, 500, ""), nil, 500, 1},
 		{"failure is repeated", true, reply(answered, 500, ""), nil, 500, 2},
 		{"lost answer runs once", false, reply(unknown, 0, "lost"), nil, http.StatusBadGateway, 1},
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"cassiarack.example/lib/answer"
 	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/service/peers"
 	"cassiarack.example/lib/tracing"
@@ -255,9 +256,14 @@
 	switch reply.GetOutcome() {
 	case wire.RunOutcome_RUN_OUTCOME_ANSWERED:
 		p.sent++
-		p.lastAnswer = answerFromReply(reply)
-		if p.lastAnswer.Status < http.StatusInternalServerError {
-			return false
+		a, err := answerFromReply(reply)
+		if err == nil {
+			p.lastAnswer = a
+			if a.Status < http.StatusInternalServerError {
+				return false
+			}
+		} else {
+			p.reason = err.Error()
 		}
 		p.mayHaveRun = true
 		return s.tryRepeat(ctx, now, r, p)
@@ -294,12 +300,20 @@
 	return <-allowed
 }
 
-func answerFromReply(reply *wire.RunReply) *message.Answer {
+// answerFromReply returns the answer in a reply, or an error if no client may get it: a
+// sidecar of an earlier version passes on answers that package backend rejects.
+func answerFromReply(reply *wire.RunReply) (*message.Answer, error) {
+	if err := answer.CheckStatus(int(reply.GetStatus())); err != nil {
+		return nil, err
+	}
 	a := &message.Answer{Status: int(reply.GetStatus()), Header: make(http.Header), Body: reply.GetBody()}
 	for _, f := range reply.GetHeaders() {
+		if err := answer.CheckName(string(f.GetName())); err != nil {
+			return nil, err
+		}
 		a.Header.Add(string(f.GetName()), string(f.GetValue()))
 	}
-	return a
+	return a, nil
 }
 
 // finalAnswer returns the last answer of an instance, or an answer of the sidecar if
