Reject broken heads that the gate of another node passes on

The entry of cassiarack-node took the heads that a gate sent for answers, whatever their status and field names; the gate may be that of an earlier version during a rolling restart.

Cause: the entry trusted the gate. A status of 000, 099 or 101 makes net/http panic when the front writes it, so that the caller's connection ends without an answer.

Change: the entry takes such a head for a failure of the backend server.

--- a/lib/service/handoff/settle.go
+++ b/lib/service/handoff/settle.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"cassiarack.example/lib/answer"
 	"cassiarack.example/lib/decision/handover"
 	"cassiarack.example/lib/request"
 	"cassiarack.example/lib/ring"
@@ -73,6 +74,7 @@
 	}
 	defer cancel()
 	down, err := a.messages.Take(ctx)
+	down = rejectBrokenHead(down)
 	if err == nil || a.ctx.Err() != nil || errors.Is(err, ring.ErrClosed) {
 		a.observeHead(down, err)
 	}
@@ -100,6 +102,27 @@
 	return down, handover.EventLinkLost, a.linkLostFailure(errUnexpected)
 }
 
+// rejectBrokenHead returns the message, or a failure in its place if it is the head of an
+// answer that no caller may get. The gate of a node of an earlier version passes such
+// heads on.
+func rejectBrokenHead(down *wire.Down) *wire.Down {
+	head := down.GetHead()
+	if head == nil {
+		return down
+	}
+	err := answer.CheckStatus(int(head.GetStatus()))
+	for _, f := range head.GetFields() {
+		if err == nil {
+			err = answer.CheckName(f.GetName())
+		}
+	}
+	if err == nil {
+		return down
+	}
+	return &wire.Down{Load: down.GetLoad(), Kind: &wire.Down_Failed{Failed: &wire.Failed{
+		Reason: wire.ToReason(request.ReasonBackendLost), Detail: err.Error()}}}
+}
+
 var errNoReply = errors.New("no message after the commit")
 
 // conclude requests settlements until the state machine returns another step. It
