Reject status lines in which the status does not follow one space

Found while the change was read through. net/http skips more than one space before the status, while answer.Scanner looked for it in its column, and so took the head of an informational answer with two spaces for the last one. The head behind it was not scanned.

Change: the scanner asks for one space and a digit, as RFC 9112, section 4, does.

--- a/lib/answer/scanner.go
+++ b/lib/answer/scanner.go
@@ -54,11 +54,12 @@
 
 // Causes of errors of KindMalformed.
 var (
-	errVersion  = errors.New("the version is not HTTP/1.x")
-	errName     = errors.New("the name of a field is not allowed")
-	errFolded   = errors.New("a field line begins with white space")
-	errCoding   = errors.New("an HTTP/1.0 answer has a Transfer-Encoding")
-	errLastLine = errors.New("a carriage return stands alone")
+	errVersion    = errors.New("the version is not HTTP/1.x")
+	errStatusLine = errors.New("no status follows the version and a space")
+	errName       = errors.New("the name of a field is not allowed")
+	errFolded     = errors.New("a field line begins with white space")
+	errCoding     = errors.New("an HTTP/1.0 answer has a Transfer-Encoding")
+	errLastLine   = errors.New("a carriage return stands alone")
 )
 
 // Scan checks the next bytes.
@@ -108,6 +109,8 @@
 		s.err = errVersion
 	case s.column == len(version):
 		s.minorVersion = b
+	case s.column == statusColumn-1 && b != ' ', s.column == statusColumn && (b < '0' || b > '9'):
+		s.err = errStatusLine
 	case s.column == statusColumn:
 		s.informational = b == '1'
 	}
--- a/lib/answer/scanner_test.go
+++ b/lib/answer/scanner_test.go
@@ -27,6 +27,8 @@
 		{"HTTP/1.1 in chunks", first + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
 		{"HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nhi"},
 		{"no version", "\x00\x01\r\n\r\n"},
+		{"two spaces before the status", "HTTP/1.1  103 x\r\n\r\n" + first + "X Other: 1\r\n\r\n"},
+		{"status with a sign", "HTTP/1.1 +20 x\r\n\r\n"},
 		{"space in a name", first + "X Other: 1\r\n\r\n"},
 		{"space behind a name", first + "Content-Length : 2\r\n\r\nhi"},
 		{"tab behind a name", first + "Content-Length\t: 2\r\n\r\nhi"},
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -125,6 +125,7 @@
 		{"control byte in a field name", ok + idA + signed + "X\x01Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{"space in a field name of a late answer", ok + idB + "X Other: 1\r\nContent-Length: 0\r\n\r\n" + whole},
 		{"space in a field name after a late answer", ok + idB + "Content-Length: 0\r\n\r\n" + ok + idA + signed + "X Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{"space in a field name after an informational response", "HTTP/1.1  103 x\r\n\r\n" + ok + idA + signed + "X Other: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{"space in a field name of an informational response", "HTTP/1.1 103 x\r\nX Other: 1\r\n\r\n" + whole},
 		{"conflicting lengths", ok + idA + signed + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi"},
 	}
