--- a/lib/service/gate/trackedconn.go
+++ b/lib/service/gate/trackedconn.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"time"
 
 	"cassiarack.example/lib/answer"
 	"cassiarack.example/lib/link"
@@ -62,7 +61,7 @@
 	}
 	// Ends a write that waits for the backend server. After the end of the connection
 	// net/http sends no more of the request.
-	if err := l.Conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+	if err := l.Conn.SetWriteDeadline(link.Expired); err != nil {
 		return n, err
 	}
 	l.writing.Lock()
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -281,7 +281,7 @@
 // stopWatch ends the goroutine that watches an idle connection, and reports
 // whether the connection is usable.
 func (cn *conn) stopWatch() bool {
-	if err := cn.net.SetReadDeadline(expired); err != nil {
+	if err := cn.net.SetReadDeadline(link.Expired); err != nil {
 		return false
 	}
 	<-cn.watchDone
@@ -380,7 +380,7 @@
 // checkEnd returns an error if the connection, at whose end the reader has arrived, did
 // not end regularly. It ends a send that still waits for the instance.
 func (cn *conn) checkEnd(sent <-chan error) error {
-	if err := cn.net.SetWriteDeadline(expired); err != nil {
+	if err := cn.net.SetWriteDeadline(link.Expired); err != nil {
 		return err
 	}
 	if err := <-sent; !link.IsRegularEnd(err) {
@@ -389,9 +389,6 @@
 	return nil
 }
 
-// expired is a deadline that ends a system call in progress.
-var expired = time.Unix(1, 0)
-
 // isForeign reports whether a response with the identifier id may be that of
 // another request. A response without an identifier may be a late one, or an
 // earlier one written again, unless it is the first on its connection.
--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -104,7 +104,7 @@
 		<-written
 		// An expired deadline ends the reading. An error means that the connection
 		// is closed, which ends it as well.
-		_ = c.net.SetReadDeadline(expired)
+		_ = c.net.SetReadDeadline(link.Expired)
 	}()
 	_, err := io.Copy(io.Discard, c.reader)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -114,9 +114,6 @@
 	return cmp.Or(err, errClientLeft)
 }
 
-// expired is a deadline that ends a read at once.
-var expired = time.Unix(1, 0)
-
 // linger closes the sending side and reads until the client closes the
 // connection or lingerTime has passed.
 func (c *conn) linger() {
@@ -245,7 +242,7 @@
 		err := c.answers.Put(ctx, e)
 		// An error means that the connection is closed, which ends the reading as
 		// well.
-		_ = c.net.SetReadDeadline(expired)
+		_ = c.net.SetReadDeadline(link.Expired)
 		queued <- err
 	}()
 	err := c.readAhead()
@@ -321,7 +318,7 @@
 	if last && !e.closeAfter {
 		// The reader may be waiting for another request, which would not be
 		// handled; an expired deadline ends that wait.
-		return c.net.SetReadDeadline(expired)
+		return c.net.SetReadDeadline(link.Expired)
 	}
 	return nil
 }
