Let the raw instance of a test take its answers atomically

Cause: the answer was written while the goroutine of the instance could read it.

Measured: TestBrokenAnswers with the race detector holds alone and in 3 of 3 runs beside 12 busy processes on 8 cores, as do TestResetDuringUpload of both packages.

--- a/standin/mesh/broken_test.go
+++ b/standin/mesh/broken_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 type rawInstance struct {
 	listener net.Listener
 	signer   *Instance
-	answer   brokenAnswer
+	answer   atomic.Pointer[brokenAnswer]
 }
 
 // brokenAnswer is an answer that HTTP does not allow or that ends early.
@@ -76,7 +77,7 @@
 	if err != nil {
 		return
 	}
-	a := i.answer
+	a := i.answer.Load()
 	status := a.statusLine
 	if status == "" {
 		status = "HTTP/1.1 200 OK"
@@ -166,7 +167,7 @@
 		{name: "no length, reset during the upload", body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
 		{name: "length, reset during the upload", fields: length, body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
 	} {
-		i.answer = a
+		i.answer.Store(&a)
 		results := make(map[string]bool)
 		for k := range brokenRounds {
 			got, err := m.exchangeRaw(vm("beta"), fmt.Sprintf("raw-%d-%d", n, k), a.upload)
