--- a/lib/service/gate/trackedconn.go
+++ b/lib/service/gate/trackedconn.go
@@ -61,7 +61,7 @@
 	}
 	// Ends a write that waits for the backend server. After the end of the connection
 	// net/http sends no more of the request.
-	if err := l.Conn.SetWriteDeadline(link.Expired); err != nil {
+	if err := l.SetWriteDeadline(link.Expired); err != nil {
 		return n, err
 	}
 	l.writing.Lock()
