Reject answers whose head has the identity of two answers

Cause: a faulty instance broke an answer off in the value of a header field and continued with an earlier answer on the kept connection. To a parser this is one head with two identifiers. The sidecar looked at the first identifier only, and took the rest of the earlier answer, with its length and body, for the answer to the request.

Change: the identifier, the signature and the statement of a refusal may each occur once in an answer; otherwise the answer is invalid and the request may have run. The relay checks the answers that gates of earlier versions pass on in the same way. A connection is not reused after an answer without an identifier, because such an answer, written once more, would leave a joined head with one identifier. A request that names two attempts is refused with 400.

The check works because every answer of an instance has its own identifier, so that two heads cannot join without showing two of them. TestBrokenAnswers covers it with two real sidecars, and the soak has the mode "joins" for instances.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -1,8 +1,8 @@
 // Package backend is an HTTP/1.1 client for the instance on the same VM.
 //
 // A response is returned only if it is well-formed and complete and can be that of no
-// other request: it bears the identifier of the request, or it is the first response on
-// its connection and bears none. A success must bear the identifier and the
+// other request: it bears the identifier of the request and no second one, or it is the
+// first response on its connection and bears none. A success must bear the identifier and the
 // signature of the instance. Bytes after a complete response belong to no request,
 // so the connection is then not used again.
 //
@@ -371,7 +371,9 @@
 		if limit, ok := platform.IdleTimeout(resp.Header); ok {
 			cn.idleLimit = min(maxIdle, max(limit-idleMargin, 0))
 		}
-		reusable := framed && !resp.Close && cn.reader.Buffered() == 0
+		// An instance may write an answer once more. Without an identifier, it could then be
+		// taken for that of the next request.
+		reusable := framed && !resp.Close && id != "" && cn.reader.Buffered() == 0
 		return &message.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
 	return nil, false, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("answers to other requests")}
@@ -434,7 +436,7 @@
 			}
 			return nil, nil, &Error{Op: "read", Kind: kind, Err: err}
 		}
-		if err := cn.in.head.Err(); err != nil {
+		if err := cn.checkHead(resp); err != nil {
 			return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: err}
 		}
 		// No request asks for another protocol, so nothing after status 101 is an
@@ -457,6 +459,16 @@
 	return nil, nil, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("too many informational responses")}
 }
 
+// checkHead returns an error for a head that HTTP does not allow, and for one that may
+// consist of the heads of several responses. Such a response cannot be skipped as that
+// of another request, since the head of the present one may be in it.
+func (cn *conn) checkHead(resp *http.Response) error {
+	if err := cn.in.head.Err(); err != nil {
+		return err
+	}
+	return platform.CheckIdentity(resp.Header)
+}
+
 // startHead prepares to scan the head of the next response, of which bytes may be
 // buffered already.
 func (cn *conn) startHead() error {
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -370,3 +370,56 @@
 	}
 	golden.Check(t, "refusals", b.String())
 }
+
+// TestJoinedAnswers guards against an answer whose head was broken off and continues with
+// an earlier answer: the client would get the body of another request as its own.
+func TestJoinedAnswers(t *testing.T) {
+	earlier := ok + idA + signed + "Content-Length: 5\r\n\r\nfirst"
+	whole := ok + idB + signed + "Content-Length: 6\r\n\r\nsecond"
+	cases := []struct{ name, head string }{
+		{"in the signature", ok + idB + "X-Cassiarack-Response-Signature: s"},
+		{"in another field", ok + idB + signed + "Date: Mon"},
+		{"in a failure", "HTTP/1.1 500 x\r\n" + idB + "X-Other: "},
+		{"in the identifier", ok + "X-Cassiarack-Attempt-Id: b"},
+		{"before the identifier", ok + "X-Other: "},
+		{"in the name of a field", ok + idB + "X-Other"},
+		{"in the status line", "HTTP/1.1 200 O"},
+		{"after a whole answer", whole},
+	}
+	var b strings.Builder
+	for _, tc := range cases {
+		i := startInstance(t, earlier, tc.head+earlier, whole)
+		c := i.client()
+		for _, id := range []string{"a", "b"} {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			a, err := c.Do(ctx, get(id))
+			cancel()
+			var e *Error
+			if errors.As(err, &e) {
+				fmt.Fprintf(&b, "%s: %s: %s\n", tc.name, id, e.Kind)
+				continue
+			}
+			fmt.Fprintf(&b, "%s: %s: %d %q\n", tc.name, id, a.Status, a.Body)
+		}
+	}
+	golden.Check(t, "joined", b.String())
+}
+
+// TestAnswerWithoutIdentifier guards against reusing a connection on which an answer
+// without an identifier may be written once more, as a part of a later answer's head.
+func TestAnswerWithoutIdentifier(t *testing.T) {
+	is := is.New(t)
+	earlier := "HTTP/1.1 404 x\r\nContent-Length: 5\r\n\r\nfirst"
+	whole := ok + idB + signed + "Content-Length: 6\r\n\r\nsecond"
+	i := startInstance(t, earlier, whole, whole)
+	c := i.client()
+	a, err := c.Do(t.Context(), get(""))
+	is.NoErr(err)
+	is.Equal(a.Status, http.StatusNotFound)
+	for range 2 {
+		a, err = c.Do(t.Context(), get("b"))
+		is.NoErr(err)
+		is.Equal(string(a.Body), "second")
+		is.Equal(len(i.accepted), 2)
+	}
+}
--- a/sidecar/ingress/conn_test.go
+++ b/sidecar/ingress/conn_test.go
@@ -307,7 +307,8 @@
 }
 
 // TestRequestHeads guards against request smuggling, that is requests that two
-// HTTP parsers read differently, and against size limits that are not enforced.
+// HTTP parsers read differently, against requests whose attempt is ambiguous, and against
+// size limits that are not enforced.
 func TestRequestHeads(t *testing.T) {
 	_, f, address, _ := startIngress(t)
 	cases := []struct{ name, text string }{
@@ -324,6 +325,7 @@
 		{"continued header", "GET /a/x HTTP/1.1\r\nHost: h.example\r\nA: b\r\n c\r\n\r\n"},
 		{"space before colon", "GET /a/x HTTP/1.1\r\nHost: h.example\r\nA : b\r\n\r\n"},
 		{"no host", "GET /a/x HTTP/1.1\r\n\r\n"},
+		{"two attempts", "GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Cassiarack-Attempt-Id: a\r\nX-Cassiarack-Attempt-Id: b\r\n\r\n"},
 		{"large header", "GET /a/x HTTP/1.1\r\nHost: h.example\r\nA: " + strings.Repeat("b", 600) + "\r\n\r\n"},
 		{"large body", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("b", 65)},
 		{"old protocol", "GET /a/x HTTP/1.0\r\nHost: h.example\r\n\r\n"},
--- a/sidecar/ingress/head.go
+++ b/sidecar/ingress/head.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"cassiarack.example/platform"
 	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
 )
@@ -136,6 +137,9 @@
 	if r.ProtoMajor != 1 || r.Host == "" || !strings.HasPrefix(r.URL.Path, "/") {
 		return nil, &refusal{http.StatusBadRequest, "the request names no host and path"}
 	}
+	if err := platform.CheckAttempt(r.Header); err != nil {
+		return nil, &refusal{http.StatusBadRequest, "the request names several attempts"}
+	}
 	if !r.ProtoAtLeast(1, 1) {
 		r.Close = true
 	}
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -93,10 +93,12 @@
 	return &wire.RunReply{Outcome: outcome, Status: status, Reason: reason}
 }
 
-// answerWithField returns a reply with an answer that has a field of the given name.
-func answerWithField(name string) *wire.RunReply {
+// answerWithFields returns a reply with an answer that has a field of each name.
+func answerWithFields(names ...string) *wire.RunReply {
 	r := reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, http.StatusOK, "")
-	r.Headers = []*wire.HeaderField{{Name: []byte(name), Value: []byte("2")}}
+	for _, name := range names {
+		r.Headers = append(r.Headers, &wire.HeaderField{Name: []byte(name), Value: []byte("2")})
+	}
 	return r
 }
 
@@ -123,11 +125,14 @@
 		{"answer without a status runs once", false, reply(answered, 0, ""), nil, http.StatusBadGateway, 1},
 		{"answer without a status is repeated", true, reply(answered, 0, ""), nil, http.StatusBadGateway, 2},
 		{"answer with an invalid status", false, reply(answered, 600, ""), nil, http.StatusBadGateway, 1},
-		{"answer with a space in a field name", false, answerWithField("X Other"), nil, http.StatusBadGateway, 1},
-		{"answer with a space behind a field name", false, answerWithField("Content-Length "), nil, http.StatusBadGateway, 1},
-		{"answer with a line feed in a field name", false, answerWithField("X\nOther"), nil, http.StatusBadGateway, 1},
-		{"answer with a field without a name", false, answerWithField(""), nil, http.StatusBadGateway, 1},
-		{"answer with a field", false, answerWithField("X-Other"), nil, 200, 1},
+		{"answer with a space in a field name", false, answerWithFields("X Other"), nil, http.StatusBadGateway, 1},
+		{"answer with a space behind a field name", false, answerWithFields("Content-Length "), nil, http.StatusBadGateway, 1},
+		{"answer with a line feed in a field name", false, answerWithFields("X\nOther"), nil, http.StatusBadGateway, 1},
+		{"answer with a field without a name", false, answerWithFields(""), nil, http.StatusBadGateway, 1},
+		{"answer with a field", false, answerWithFields("X-Other"), nil, 200, 1},
+		{"answer with a field twice", false, answerWithFields("X-Other", "X-Other"), nil, 200, 1},
+		{"answer with two identifiers", false, answerWithFields("X-Cassiarack-Attempt-Id", "X-Cassiarack-Attempt-Id"), nil, http.StatusBadGateway, 1},
+		{"answer with two signatures", false, answerWithFields("X-Cassiarack-Response-Signature", "x-cassiarack-response-signature"), nil, http.StatusBadGateway, 1},
 		{"failure runs once", false, reply(answered, 500, ""), nil, 500, 1},
 		{"failure is repeated", true, reply(answered, 500, ""), nil, 500, 2},
 		{"lost answer runs once", false, reply(unknown, 0, "lost"), nil, http.StatusBadGateway, 1},
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -301,7 +301,8 @@
 }
 
 // answerFromReply returns the answer in a reply, or an error if HTTP does not allow its
-// status or a field name. Sidecars of earlier versions pass such answers on.
+// status or a field name, or if its head may be that of several answers. Sidecars of
+// earlier versions pass such answers on.
 func answerFromReply(reply *wire.RunReply) (*message.Answer, error) {
 	if err := answer.CheckStatus(int(reply.GetStatus())); err != nil {
 		return nil, err
@@ -313,6 +314,9 @@
 		}
 		a.Header.Add(string(f.GetName()), string(f.GetValue()))
 	}
+	if err := platform.CheckIdentity(a.Header); err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
--- a/standin/mesh/broken_test.go
+++ b/standin/mesh/broken_test.go
@@ -124,7 +124,7 @@
 // TestBrokenAnswers guards against answers of a faulty instance that reach the client
 // as whole answers, through two sidecars: those with a status that does not exist, those
 // of another protocol or version, those with a malformed field, whose body may end
-// elsewhere, and those without a length that end with a reset while the request is still
+// elsewhere, those whose head continues with that of another answer, and those without a length that end with a reset while the request is still
 // being sent.
 func TestBrokenAnswers(t *testing.T) {
 	is := is.New(t)
@@ -164,6 +164,7 @@
 		{name: "carriage return in a field name", fields: length + "X\rOther: 1\r\n", body: "hi"},
 		{name: "DEL in a field name", fields: length + "X\x7fOther: 1\r\n", body: "hi"},
 		{name: "control byte in a field value", fields: length + "X-Other: a\x01b\r\n", body: "hi"},
+		{name: "head of another answer in a field value", fields: "X-Other: aHTTP/1.1 200 OK\r\nX-Cassiarack-Attempt-Id: other\r\n" + length, body: "hi"},
 		{name: "no length", body: "hi"},
 		{name: "no length, reset during the upload", body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
 		{name: "length, reset during the upload", fields: length, body: "hi", upload: 4 << 20, resetAfter: 2 * time.Millisecond},
--- a/standin/mesh/instance.go
+++ b/standin/mesh/instance.go
@@ -28,13 +28,14 @@
 	Garbage          Mode = "garbage"   // sends bytes that are not an HTTP answer
 	Unsigned         Mode = "unsigned"  // answers without its signature
 	CutsHead         Mode = "head"      // runs and ends in the middle of its answer's head
+	JoinsAnswers     Mode = "joins"     // runs and continues its answer's head with another answer
 	EndlessHead      Mode = "longHead"  // runs and sends a head without end
 	EndlessBody      Mode = "longBody"  // runs and sends a body without end
 )
 
 // InstanceModes lists all faulty modes of an instance.
 var InstanceModes = []Mode{Errors, Sheds, Hangs, ClosesUnanswered, TruncatesAnswer, ExtraAnswer, LateExtraAnswer, Unframed, Garbage, Unsigned,
-	CutsHead, EndlessHead, EndlessBody}
+	CutsHead, JoinsAnswers, EndlessHead, EndlessBody}
 
 const (
 	// extraDelay is the time from the first answer to a late second answer.
@@ -241,6 +242,8 @@
 		sendRaw(w, "GARBAGE "+whole, "", 0)
 	case CutsHead:
 		sendRaw(w, whole[:rand.IntN(len(whole)-len(text))], "", 0)
+	case JoinsAnswers:
+		sendRaw(w, "HTTP/1.1 200 OK\r\n"+strings.TrimSuffix(head, "\r\n")+i.completeAnswer("other"), "", 0)
 	case EndlessHead:
 		sendEndless(w, "HTTP/1.1 200 OK\r\n"+head+"X-Other: ")
 	case EndlessBody:
