Accept a refusal only with the status and without the signature of a run

Cause: a faulty instance broke off the head of its answer to a request that it ran, and wrote an earlier refusal behind it. One field, X-Cassiarack-Not-Executed, then made the answer a refusal although its status was 200 and it had a signature.

Change: an answer that states that the request did not run counts as a refusal only with one of the statuses of refusals (400, 421, 429, 503) and without a signature. Otherwise it is invalid, and the request may have run. The relay applies the check of the status to what gates of earlier versions report.

It works because a head that begins with the answer to a run keeps its status line, whatever follows.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -408,7 +408,7 @@
 	case platform.NotExecuted(resp.StatusCode, resp.Header) && cn.reader.Buffered() > 0:
 		return errDoubtfulRefusal
 	}
-	return nil
+	return platform.CheckRefusal(resp.StatusCode, resp.Header)
 }
 
 var (
--- a/sidecar/backend/backend_test.go
+++ b/sidecar/backend/backend_test.go
@@ -423,3 +423,37 @@
 		is.Equal(len(i.accepted), 2)
 	}
 }
+
+// TestRefusalInHeadOfRun guards against a refusal that an instance writes in the middle of
+// the head of its answer to a request that it ran: the request would run at a second
+// instance, or the client would be told that it was not run.
+func TestRefusalInHeadOfRun(t *testing.T) {
+	const stated = "X-Cassiarack-Not-Executed: 1\r\n"
+	cases := []struct{ name, head string }{
+		{"a refusal of another request", ok + idB + "X-Cassiarack-Response-Signature: sHTTP/1.1 503 x\r\n" + idA + stated},
+		{"a refusal without an identifier", ok + idB + "X-Cassiarack-Response-Signature: sHTTP/1.1 400 x\r\n" + stated},
+		{"in a failure", "HTTP/1.1 500 x\r\n" + idB + "X-Other: HTTP/1.1 400 x\r\n" + stated},
+		{"in an answer with the status of a refusal", "HTTP/1.1 503 x\r\n" + idB + signed + "X-Other: HTTP/1.1 400 x\r\n" + stated},
+		{"in a signed answer for another instance", "HTTP/1.1 421 x\r\n" + idB + signed},
+		{"full", "HTTP/1.1 503 x\r\n" + idB + stated},
+		{"too many", "HTTP/1.1 429 x\r\n" + idB + stated},
+		{"no identifier", "HTTP/1.1 400 x\r\n" + idB + stated},
+		{"another instance", "HTTP/1.1 421 x\r\n" + idB},
+	}
+	var b strings.Builder
+	for _, tc := range cases {
+		i := startInstance(t, ok+idA+signed+"Content-Length: 0\r\n\r\n", tc.head+"Content-Length: 0\r\n\r\n")
+		c := i.client()
+		_, err := c.Do(t.Context(), get("a"))
+		is.New(t).NoErr(err)
+		a, err := c.Do(t.Context(), get("b"))
+		var e *Error
+		switch {
+		case errors.As(err, &e):
+			fmt.Fprintf(&b, "%s: %s\n", tc.name, e.Kind)
+		default:
+			fmt.Fprintf(&b, "%s: %d, not run %t\n", tc.name, a.Status, platform.NotExecuted(a.Status, a.Header))
+		}
+	}
+	golden.Check(t, "refusalInHead", b.String())
+}
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -142,6 +142,8 @@
 		{"gates are full", false, reply(refused, 0, "full"), nil, http.StatusServiceUnavailable, 0},
 		{"displaced at all gates", false, reply(refused, 0, "displaced"), nil, http.StatusServiceUnavailable, 9},
 		{"no time is left at the gate", false, reply(refused, 0, "expired"), nil, http.StatusServiceUnavailable, 1},
+		{"a refusal with the status of a success", false, reply(refused, 200, gate.ReasonInstance), nil, http.StatusBadGateway, 1},
+		{"a refusal with the status of a failure", false, reply(refused, 500, gate.ReasonInstance), nil, http.StatusBadGateway, 1},
 		{"instances refuse", false, reply(refused, 503, gate.ReasonInstance), nil, http.StatusServiceUnavailable, 3},
 	}
 	for _, tc := range cases {
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -242,9 +242,7 @@
 	if transfer.NotSent(err) {
 		return true
 	}
-	p.sent++
-	p.mayHaveRun = true
-	return s.tryRepeat(ctx, now, r, p)
+	return s.continueAfterRun(ctx, now, r, p)
 }
 
 // handleReply updates p with the reply of a gate and reports whether another offer
@@ -271,16 +269,26 @@
 		if reply.GetReason() != gate.ReasonInstance {
 			return reply.GetReason() != string(admission.ReasonExpired)
 		}
+		// Sidecars of earlier versions take any status for a refusal that states so.
+		if !platform.IsRefusalStatus(int(reply.GetStatus())) {
+			return s.continueAfterRun(ctx, now, r, p)
+		}
 		p.rejected++
 		p.refusedBy = append(p.refusedBy, pl.ID)
 		return p.rejected < maxRejected && s.requestRepeat(ctx, r)
 	default:
-		p.sent++
-		p.mayHaveRun = true
-		return s.tryRepeat(ctx, now, r, p)
+		return s.continueAfterRun(ctx, now, r, p)
 	}
 }
 
+// continueAfterRun records that an instance may have run the request and reports whether
+// another offer should follow.
+func (s *Service) continueAfterRun(ctx context.Context, now time.Time, r *message.Request, p *progress) bool {
+	p.sent++
+	p.mayHaveRun = true
+	return s.tryRepeat(ctx, now, r, p)
+}
+
 // tryRepeat reports whether a request that may have run is sent once more. If so, it
 // takes the repeat from the budget.
 func (s *Service) tryRepeat(ctx context.Context, now time.Time, r *message.Request, p *progress) bool {
