Reserve the calls of a repeat before it runs

Cause: runs of another service call this one, fail when a call is shed, and are repeated. The calls of the repeat are repeats too. They were charged only when they arrived, at the sidecar beside the run; once its part of the budget was used up, the charge stopped nothing.

Change: package calls estimates how many requests a run sends to each service, from the requests that arrive during runs and the rate of those that arrive without. The gate admits a repeat only if the local parts of the budgets have room for its calls, and charges them first; what the instance did not run is paid back. After a run that failed together with a call the estimate is rounded up. A relay stops after two refusals of this kind.

It works because every arrival that counts as a repeat is now taken from a part of the budget before it is caused.

Tests: TestRepeatShareFromGrant tested the share of repeats, which is gone; TestCallsReservedFromGrant asks the same of the reservation: counted from the grant, not for first runs, nothing left behind after a withdrawal, a refusal or an expiry.

--- a/lib/decision/admission/admission.go
+++ b/lib/decision/admission/admission.go
@@ -42,6 +42,9 @@
 	// ReasonDisplaced means that requests which came later go before this one, so that
 	// it would wait too long. Another instance may have room.
 	ReasonDisplaced Reason = "displaced"
+	// ReasonCalls means that the run would be a repeat, and that the budget for repeats of
+	// a service that it calls has no room for its calls.
+	ReasonCalls Reason = "calls"
 	// ReasonLeaving means that the instance takes no new requests, as it is about
 	// to stop.
 	ReasonLeaving Reason = "leaving"
--- a/lib/decision/retry/window.go
+++ b/lib/decision/retry/window.go
@@ -62,14 +62,21 @@
 	return true
 }
 
-// Charge counts a request that is probably a repeat, with the given probability. A call
-// that a repeated run makes is a repeat at the service that it calls, but a node only
-// knows which share of the runs at its instance are repeats.
-func (w *WindowBudget) Charge(now time.Time, probability float64) {
-	if w.charged += probability; w.charged >= 1 {
-		w.charged--
-		w.charges = append(dropBefore(w.charges, now.Add(-w.Length)), now)
+// Charge counts repeats that are expected of runs which this node begins: the calls of a
+// repeated run are repeats at the service that it calls. The number may be fractional.
+func (w *WindowBudget) Charge(now time.Time, repeats float64) {
+	w.charges = dropBefore(w.charges, now.Add(-w.Length))
+	for w.charged += repeats; w.charged >= 1; w.charged-- {
+		w.charges = append(w.charges, now)
+	}
+}
+
+// Refund takes back charged repeats of a run that did not take place.
+func (w *WindowBudget) Refund(repeats float64) {
+	for w.charged -= repeats; w.charged < 0 && len(w.charges) > 0; w.charged++ {
+		w.charges = w.charges[:len(w.charges)-1]
 	}
+	w.charged = max(w.charged, 0)
 }
 
 // AllowShare takes one repeat for an organisation, like Allow without a reserve. While
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -74,9 +74,8 @@
 
 	commands  *ring.Ring[func(now time.Time)]
 	executing atomic.Int64
-	// repeating is the number of requests that run at the instance and that another
-	// instance got before.
-	repeating atomic.Int64
+	// calls may be nil.
+	calls CallBudget
 	// stopped is closed when Run has returned and no command is handled any more.
 	stopped chan struct{}
 
@@ -100,6 +99,25 @@
 	instanceStart time.Time
 }
 
+// CallBudget accounts for the requests that the instance sends to other services while
+// it runs requests.
+type CallBudget interface {
+	// Reserve takes the calls of a repeated run from the budgets for repeats of the
+	// services that it calls. It reports false if one of them has no room. CallFailed is
+	// set if the last run of the request failed together with a call. The function refund
+	// returns the calls of a run that did not take place.
+	Reserve(ctx context.Context, callFailed bool) (refund func(), ok bool)
+	// RunStarted records that a run begins.
+	RunStarted()
+	// RunEnded records that a run ended. Executed is false if the instance got nothing
+	// or refused the request.
+	RunEnded(executed bool)
+}
+
+// AttachCalls makes b account for the calls of the instance. It may be called only from
+// the Bind methods of other services.
+func (s *Service) AttachCalls(b CallBudget) { s.calls = b }
+
 // job is a request that waits or runs at the gate.
 type job struct {
 	request *wire.RunRequest
@@ -188,16 +206,6 @@
 // Running returns the number of requests that run at the instance.
 func (s *Service) Running() int { return int(s.executing.Load()) }
 
-// RepeatShare returns the share of the requests that run at the instance which another
-// instance got before.
-func (s *Service) RepeatShare() float64 {
-	repeating, all := s.repeating.Load(), s.executing.Load()
-	if repeating == 0 || all == 0 {
-		return 0
-	}
-	return min(1, float64(repeating)/float64(all))
-}
-
 // tick closes the gate when that is due, starts waiting requests and refuses those
 // that can no longer be served in time.
 func (s *Service) tick(now time.Time) {
@@ -345,6 +353,8 @@
 	// weight is between 0 and 1; it is 0 if the outcome gives no information.
 	weight  float64
 	runTime time.Duration
+	// callFailed is set if the failure is attributed to a call of the instance.
+	callFailed bool
 }
 
 // finish releases the slot of a request and records the evidence from its outcome.
--- a/sidecar/gate/run.go
+++ b/sidecar/gate/run.go
@@ -60,6 +60,8 @@
 	job      *job
 	received time.Time
 	span     trace.Span
+	// refundCalls returns the calls that were reserved for the run.
+	refundCalls func()
 }
 
 // Offer offers a request with its body to the instance. It returns when the request
@@ -83,20 +85,62 @@
 		g.endSpan(refusal)
 		return nil, refusal
 	}
-	g.count(1)
+	g.begin()
 	return g, nil
 }
 
-// count adds n to the numbers of requests that run.
-func (g *grant) count(n int64) {
-	g.service.executing.Add(n)
-	if g.job.request.GetRepeat() {
-		g.service.repeating.Add(n)
+// begin counts the request as running.
+func (g *grant) begin() {
+	g.service.executing.Add(1)
+	if g.service.calls != nil {
+		g.service.calls.RunStarted()
 	}
 }
 
-// admit returns a refusal, or nil if a slot is reserved.
+// end counts the request as ended. Unless the instance executed it, the calls reserved for
+// it are returned.
+func (g *grant) end(executed bool) {
+	g.service.executing.Add(-1)
+	if g.service.calls != nil {
+		g.service.calls.RunEnded(executed)
+	}
+	if !executed {
+		g.refundCalls()
+	}
+}
+
+// admit reserves the calls of a repeat and a slot. It returns a refusal, or nil if both
+// are reserved.
 func (s *Service) admit(ctx context.Context, g *grant) *wire.RunReply {
+	if !s.reserveCalls(ctx, g) {
+		s.Scope.Tagged(map[string]string{"reason": string(admission.ReasonCalls)}).Counter("gate_refusals").Inc(1)
+		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(admission.ReasonCalls),
+			Condition: s.requestCondition(ctx)}
+	}
+	refusal := s.admitToSlot(ctx, g)
+	if refusal != nil {
+		g.refundCalls()
+	}
+	return refusal
+}
+
+// reserveCalls reserves the calls that the run of a repeat probably makes, and reports
+// whether the budgets allow them.
+func (s *Service) reserveCalls(ctx context.Context, g *grant) bool {
+	g.refundCalls = func() {}
+	r := g.job.request
+	if !r.GetRepeat() || s.calls == nil {
+		return true
+	}
+	refund, ok := s.calls.Reserve(ctx, r.GetCallFailed())
+	if ok {
+		g.refundCalls = refund
+	}
+	return ok
+}
+
+// admitToSlot returns a refusal, or nil if a slot is reserved.
+func (s *Service) admitToSlot(ctx context.Context, g *grant) *wire.RunReply {
 	j, r := g.job, g.job.request
 	if err := s.commands.Offer(func(now time.Time) { s.admitOrQueue(now, j) }); err != nil {
 		return &wire.RunReply{Outcome: wire.RunOutcome_RUN_OUTCOME_REFUSED, Reason: string(admission.ReasonFull)}
@@ -127,15 +171,15 @@
 
 // Withdraw implements Grant.
 func (g *grant) Withdraw() {
-	g.count(-1)
+	g.end(false)
 	g.service.release(g.job, evidence{})
 	g.endSpan(nil)
 }
 
 // Run implements Grant.
 func (g *grant) Run(ctx context.Context, body []byte, answer *memory.Hold) *wire.RunReply {
-	defer g.count(-1)
 	reply := g.service.execute(trace.ContextWithSpan(ctx, g.span), g, body, answer)
+	g.end(reply.GetOutcome() != wire.RunOutcome_RUN_OUTCOME_REFUSED)
 	g.endSpan(reply)
 	return reply
 }
@@ -213,6 +257,7 @@
 	if e.weight > 0 && !e.failed {
 		e.runTime = ended.Sub(started)
 	}
+	reply.CallFailed = e.callFailed
 	reply.Condition = s.release(j, e)
 	success := reply.GetOutcome() == wire.RunOutcome_RUN_OUTCOME_ANSWERED && reply.GetStatus() < http.StatusInternalServerError
 	if s.journal.AllowRequestLine(ended, string(r.GetAttempt()), success) {
@@ -347,11 +392,10 @@
 	case answer.Status == http.StatusGatewayTimeout:
 		return evidence{}
 	case answer.Status >= http.StatusInternalServerError:
-		weight := 1.0
 		if now.UnixNano()-s.lastNestedFailure.at.Load() < int64(nestedWindow) {
-			weight = nestedWeight
+			return evidence{failed: true, weight: nestedWeight, callFailed: true}
 		}
-		return evidence{failed: true, weight: weight}
+		return evidence{failed: true, weight: 1}
 	}
 	return evidence{weight: 1}
 }
--- a/sidecar/gate/run_test.go
+++ b/sidecar/gate/run_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -9,9 +10,11 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
 
+	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/wire"
@@ -88,24 +91,69 @@
 	is.New(t).Equal((&Service{}).evaluate(t.Context(), time.Time{}, nil, err), evidence{})
 }
 
-// TestRepeatShareFromGrant guards against repeats that count only once their bodies have
-// arrived, while all requests count from the grant, and against a count that stays.
-func TestRepeatShareFromGrant(t *testing.T) {
+// fakeCalls is a CallBudget with room for a number of runs.
+type fakeCalls struct{ room, running, executed int }
+
+func (f *fakeCalls) Reserve(context.Context, bool) (refund func(), ok bool) {
+	if f.room == 0 {
+		return nil, false
+	}
+	f.room--
+	return func() { f.room++ }, true
+}
+
+func (f *fakeCalls) RunStarted() { f.running++ }
+
+func (f *fakeCalls) RunEnded(executed bool) {
+	f.running--
+	if executed {
+		f.executed++
+	}
+}
+
+// TestCallsReservedFromGrant guards against repeats whose calls are counted only once their
+// bodies have arrived, against calls that stay reserved for a run that did not take
+// place, and against those of a first run being reserved.
+func TestCallsReservedFromGrant(t *testing.T) {
 	is := is.New(t)
-	s := &Service{commands: ring.New[func(time.Time)](1)}
+	calls := &fakeCalls{room: 2}
+	s := &Service{commands: ring.New[func(time.Time)](1), calls: calls, Scope: tally.NoopScope}
 	s.commands.Close()
 	granted := func(repeat bool) *grant {
 		g := &grant{service: s, received: time.Now(), span: trace.SpanFromContext(t.Context()),
 			job: &job{request: &wire.RunRequest{Repeat: repeat}}}
-		g.count(1)
+		is.True(s.reserveCalls(t.Context(), g))
+		g.begin()
 		return g
 	}
 	first, withdrawn, expired := granted(false), granted(true), granted(true)
-	is.Equal(s.RepeatShare(), 2.0/3)
+	is.Equal(calls.room, 0)
+	is.Equal(calls.running, 3)
+	_, refusal := s.Admit(t.Context(), &wire.RunRequest{Repeat: true}, 0)
+	is.Equal(refusal.GetReason(), string(admission.ReasonCalls))
+	is.Equal(refusal.GetOutcome(), wire.RunOutcome_RUN_OUTCOME_REFUSED)
 	withdrawn.Withdraw()
-	is.Equal(s.RepeatShare(), 0.5)
+	is.Equal(calls.room, 1)
+	_, refusal = s.Admit(t.Context(), &wire.RunRequest{Repeat: true}, 0)
+	is.Equal(refusal.GetReason(), string(admission.ReasonFull)) // the ring is closed
+	is.Equal(calls.room, 1)
 	expired.Run(t.Context(), nil, nil) // its deadline has passed
-	is.Equal(s.RepeatShare(), 0.0)
-	first.Withdraw()
+	is.Equal(calls.room, 2)
+	first.end(true)
+	is.Equal(calls, &fakeCalls{room: 2, executed: 1})
 	is.Equal(s.Running(), 0)
 }
+
+// TestCallFailed guards against a failure of the instance itself that is taken for that of
+// a call, and against the opposite.
+func TestCallFailed(t *testing.T) {
+	is := is.New(t)
+	s := &Service{}
+	now := time.Now()
+	failure := &message.Answer{Status: http.StatusInternalServerError}
+	is.Equal(s.evaluate(t.Context(), now, failure, nil), evidence{failed: true, weight: 1})
+	s.RecordNestedFailure(now.Add(-nestedWindow / 2))
+	is.Equal(s.evaluate(t.Context(), now, failure, nil), evidence{failed: true, weight: nestedWeight, callFailed: true})
+	is.Equal(s.evaluate(t.Context(), now, &message.Answer{Status: http.StatusOK}, nil), evidence{weight: 1})
+	is.Equal(s.evaluate(t.Context(), now.Add(nestedWindow), failure, nil), evidence{failed: true, weight: 1})
+}
--- a/sidecar/relay/relay.go
+++ b/sidecar/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cassiarack.example/lib/decision/belief"
+	"cassiarack.example/lib/decision/calls"
 	"cassiarack.example/lib/decision/placement"
 	"cassiarack.example/lib/decision/retry"
 	"cassiarack.example/lib/decision/room"
@@ -21,6 +22,7 @@
 	"cassiarack.example/lib/kernel"
 	"cassiarack.example/lib/ring"
 	"cassiarack.example/lib/wire"
+	"cassiarack.example/sidecar/gate"
 	"cassiarack.example/sidecar/journal"
 	"cassiarack.example/sidecar/memory"
 	"cassiarack.example/sidecar/message"
@@ -65,9 +67,8 @@
 
 // OwnGate is the gate of the instance on this VM.
 type OwnGate interface {
-	// RepeatShare returns the share of the requests that run at the instance which
-	// another instance got before.
-	RepeatShare() float64
+	// AttachCalls makes b account for the calls of the instance.
+	AttachCalls(b gate.CallBudget)
 }
 
 // Rooms knows whether services have room.
@@ -109,6 +110,7 @@
 	// Only the goroutine of Run uses the fields below.
 	instances map[string]*instanceState
 	budgets   map[string]*retry.WindowBudget
+	calls     calls.Estimator
 }
 
 // instanceState is the state of an instance as far as this sidecar knows it.
@@ -138,6 +140,7 @@
 	if s.ownGate, err = kernel.Find[OwnGate](dir, names.Gate); err != nil {
 		return err
 	}
+	s.ownGate.AttachCalls(callBudget{s})
 	if s.rooms, err = kernel.Find[Rooms](dir, names.Room); err != nil {
 		return err
 	}
@@ -297,16 +300,12 @@
 }
 
 // recordRequest counts a request for the budget of its service. It may be a call of the
-// instance on this VM, and then a repeat if its run is one.
+// instance on this VM.
 func (s *Service) recordRequest(now time.Time, r *message.Request) {
-	b := s.budget(r.Service)
-	b.RecordRequest(now)
+	s.budget(r.Service).RecordRequest(now)
 	// Instances call other services than their own.
-	if r.Service == s.OwnService {
-		return
-	}
-	if share := s.ownGate.RepeatShare(); share > 0 {
-		b.Charge(now, share)
+	if r.Service != s.OwnService {
+		s.calls.Request(now, r.Service)
 	}
 }
 
--- a/sidecar/relay/relay_test.go
+++ b/sidecar/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"cassiarack.example/lib/decision/admission"
 	"cassiarack.example/lib/decision/organisation"
 	"cassiarack.example/lib/decision/retry"
 	"cassiarack.example/lib/decision/roster"
@@ -37,15 +38,13 @@
 	// offer, in order.
 	reply func(instance string) (*wire.RunReply, error)
 	sent  []string
-	// repeatShare is the share of repeats among the runs of the own instance.
-	repeatShare float64
 	// last is the last offer.
 	last *wire.RunRequest
 }
 
 func (f *fakeFleet) State() *publication.State { return f.state }
 
-func (f *fakeFleet) RepeatShare() float64 { return f.repeatShare }
+func (f *fakeFleet) AttachCalls(gate.CallBudget) {}
 
 func (f *fakeFleet) Offer(_ context.Context, _ netip.Addr, r *wire.RunRequest, _ *memory.Hold) (*wire.RunReply, error) {
 	f.sent, f.last = append(f.sent, r.GetInstance()), r
@@ -245,30 +244,81 @@
 }
 
 // TestCallsOfRepeats guards against calls of repeated runs that do not count for the
-// budget: they are repeats at the service that they call.
+// budget: they are repeats at the service that they call. It also guards against calls
+// that stay counted for a run that did not take place.
 func TestCallsOfRepeats(t *testing.T) {
 	is := is.New(t)
-	s, f := start(t, func(string) (*wire.RunReply, error) {
+	s, _ := start(t, func(string) (*wire.RunReply, error) {
 		return reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, 200, ""), nil
 	})
-	s.RepeatRatio, s.RepeatSlack = 0, 12
+	s.RepeatRatio, s.RepeatSlack = 0, 16/repeatBudgetShare
+	s.OwnService = "own"
+	c := callBudget{s}
 	remaining := func() (left float64) {
 		is.NoErr(s.runAndWait(t.Context(), func(now time.Time) { left = s.budget("s").Remaining(now, s.slack()) }))
 		return left
 	}
-	before := remaining()
-	s.Serve(t.Context(), request(true))
-	is.Equal(remaining(), before) // no repeats run at the own instance
-	f.repeatShare = 0.5
-	for range 4 {
-		s.Serve(t.Context(), request(true))
+	reserve := func(callFailed bool) (func(), bool) { return c.Reserve(t.Context(), callFailed) }
+	_, ok := reserve(true)
+	is.True(ok)
+	is.Equal(remaining(), 16.0) // nothing is known of calls
+	// Every second run makes a call; calls to the own service are none.
+	for n := range 40 {
+		c.RunStarted()
+		if n%2 == 0 {
+			s.Serve(t.Context(), request(true))
+		}
+		own := request(true)
+		own.Service = "own"
+		s.Serve(t.Context(), own)
+		c.RunEnded(true)
 	}
-	is.Equal(remaining(), before-2)
-	s.OwnService = "s"
+	refund, ok := reserve(true)
+	is.True(ok)
+	is.Equal(remaining(), 15.0) // a run that failed with a call makes at least one
+	refund()
+	is.Equal(remaining(), 16.0)
 	for range 4 {
-		s.Serve(t.Context(), request(true))
+		_, ok = reserve(false)
+		is.True(ok)
+	}
+	is.Equal(remaining(), 14.0) // on average half a call
+	for range 14 {
+		_, ok = reserve(true)
+		is.True(ok)
 	}
-	is.Equal(remaining(), before-2) // an instance does not call its own service
+	_, ok = reserve(true)
+	is.True(!ok)
+	is.Equal(remaining(), 0.0)
+}
+
+// TestRefusedCalls guards against a request that is offered to all gates although they
+// have no budget for its calls, and against offers that do not say that a call failed.
+func TestRefusedCalls(t *testing.T) {
+	is := is.New(t)
+	var first *wire.RunReply
+	offers, callFailed := 0, 0
+	var f *fakeFleet
+	s, f := start(t, func(string) (*wire.RunReply, error) {
+		if offers++; offers == 1 {
+			return first, nil
+		}
+		if f.last.GetRepeat() && f.last.GetCallFailed() {
+			callFailed++
+		}
+		return reply(wire.RunOutcome_RUN_OUTCOME_REFUSED, 0, string(admission.ReasonCalls)), nil
+	})
+	first = reply(wire.RunOutcome_RUN_OUTCOME_ANSWERED, 500, "")
+	first.CallFailed = true
+	is.Equal(s.Serve(t.Context(), request(true)).Status, 500)
+	is.Equal(offers, 1+maxCallsRefused)
+	is.Equal(callFailed, maxCallsRefused)
+
+	offers, callFailed = 0, 0
+	first = reply(wire.RunOutcome_RUN_OUTCOME_REFUSED, 503, gate.ReasonInstance)
+	is.Equal(s.Serve(t.Context(), request(false)).Status, http.StatusServiceUnavailable) // it has not run
+	is.Equal(offers, 1+maxCallsRefused)
+	is.Equal(callFailed, 0)
 }
 
 // TestOrganisation guards against offers that name no organisation, or that count
--- a/sidecar/relay/serve.go
+++ b/sidecar/relay/serve.go
@@ -40,6 +40,9 @@
 	// do not count as attempts, but each repeat after such a refusal takes from the
 	// budget for repeats.
 	maxRejected = 3
+	// maxCallsRefused is the number of gates that may refuse a repeat because of the calls
+	// of its run. The budgets of the VMs are similar.
+	maxCallsRefused = 2
 	// shortWait is the longest accepted wait in a queue while other gates may have
 	// a free slot.
 	shortWait = 60 * time.Millisecond
@@ -76,6 +79,10 @@
 	lastAnswer *message.Answer
 	// reason says why the last offer did not succeed.
 	reason string
+	// callsRefused is the number of gates that refused the request because of its calls.
+	callsRefused int
+	// callFailed is set if the last run failed together with a call that it made.
+	callFailed bool
 	// retryAfter is the time after which a refused client may try again. If it is
 	// zero, a random one is chosen.
 	retryAfter time.Duration
@@ -218,7 +225,7 @@
 		Target: []byte(r.Target), Host: []byte(r.Host), Body: r.Body, Remaining: int64(r.Deadline.Sub(now)), RemainingTarget: int64(r.TargetTime.Sub(now)),
 		Route: r.Route.Name, Priority: int32(r.Route.Priority), Idempotent: r.Route.Idempotent,
 		Patience: int64(patience), Acceptance: acceptance, TraceParent: tracing.TraceParent(ctx),
-		Repeat: p.sent+p.rejected > 0, WithoutOrganisation: r.HasOrganisations && r.Organisation == nil}
+		Repeat: p.sent+p.rejected > 0, CallFailed: p.callFailed, WithoutOrganisation: r.HasOrganisations && r.Organisation == nil}
 	if o := r.Organisation; o != nil {
 		q.Organisation, q.OrganisationPriority = []byte(o.Name), int32(o.Priority)
 	}
@@ -250,7 +257,7 @@
 func (s *Service) handleReply(ctx context.Context, now time.Time, r *message.Request, p *progress, pl chosenInstance,
 	reply *wire.RunReply) bool {
 	p.excluded[pl.ID] = true
-	p.reason = reply.GetReason()
+	p.reason, p.callFailed = reply.GetReason(), p.callFailed || reply.GetCallFailed()
 	switch reply.GetOutcome() {
 	case wire.RunOutcome_RUN_OUTCOME_ANSWERED:
 		p.sent++
@@ -267,7 +274,7 @@
 		return s.tryRepeat(ctx, now, r, p)
 	case wire.RunOutcome_RUN_OUTCOME_REFUSED:
 		if reply.GetReason() != gate.ReasonInstance {
-			return reply.GetReason() != string(admission.ReasonExpired)
+			return p.mayOfferAfter(admission.Reason(reply.GetReason()))
 		}
 		// Sidecars of earlier versions take any status for a refusal that states so.
 		if !platform.IsRefusalStatus(int(reply.GetStatus())) {
@@ -281,6 +288,15 @@
 	}
 }
 
+// mayOfferAfter reports whether another offer may follow after a gate refused the request
+// for the given reason.
+func (p *progress) mayOfferAfter(reason admission.Reason) bool {
+	if reason == admission.ReasonCalls {
+		p.callsRefused++
+	}
+	return reason != admission.ReasonExpired && p.callsRefused < maxCallsRefused
+}
+
 // continueAfterRun records that an instance may have run the request and reports whether
 // another offer should follow.
 func (s *Service) continueAfterRun(ctx context.Context, now time.Time, r *message.Request, p *progress) bool {
