Mark the entries that a node keeps although the store's list lacks them

Cause: a node without lists for 1.5 s cannot tell its own cut from an outage of the store, in which entries lapse and then return. It keeps missing entries for 2.2 s. It announced this list as the newest, and nodes that had read the store all the while and had removed the entries adopted them again.

Change: lists between nodes say which entries are kept, until when, and since when lists were read without a gap. A node adopts kept entries only if it had no list in that time either. A node that keeps entries asks another one; if the lists there had no gap since an entry was last listed, there was no outage and the entry is dropped. The digest in announcements distinguishes kept entries, so that nodes no longer confirm such a list as equal to their own and lose their gap.

It works because the nodes that were not cut know from their own lists that the store had no outage.

TestAdopt calls Adopt with its new argument; its checks and golden file are unchanged.

--- a/lib/decision/roster/roster.go
+++ b/lib/decision/roster/roster.go
@@ -67,54 +67,143 @@
 	instances map[string]Instance
 	// readAt is when the newest list was requested, or confirmed as current.
 	readAt time.Time
-	// missingUntil maps the ID of each instance that was missing from the list
-	// after a gap to the time until which it is kept.
-	missingUntil map[string]time.Time
+	// unbrokenSince is the UnbrokenSince of the newest list.
+	unbrokenSince time.Time
+	// missing maps the ID of each instance that the newest list lacks and that is
+	// kept to what is known of it.
+	missing map[string]missing
+}
+
+// missing describes an instance that may be missing only because its entry expired in an
+// outage of the platform.
+type missing struct {
+	// listedAt is when the last known list with the entry was requested, and missedAt
+	// when the first one without it was. Both are zero if they are not known.
+	listedAt, missedAt time.Time
+	// until is the time until which the instance is kept.
+	until time.Time
+}
+
+// List is a list of entries that a node exchanges with others.
+type List struct {
+	// ReadAt is when the list was requested from the platform.
+	ReadAt time.Time
+	// UnbrokenSince is the time since which the platform had no outage: lists that
+	// the node knows of were requested at intervals of at most gapLimit.
+	UnbrokenSince time.Time
+	// Instances holds all entries, including those in MissingUntil.
+	Instances []Instance
+	// MissingUntil maps the ID of each entry that the list lacked, and that the node
+	// keeps, to the time until which it does so.
+	MissingUntil map[string]time.Time
+}
+
+// listed returns the entries that the platform's list had.
+func (l List) listed() []Instance {
+	return slices.DeleteFunc(slices.Clone(l.Instances), func(i Instance) bool {
+		_, ok := l.MissingUntil[i.ID]
+		return ok
+	})
+}
+
+// showsNoOutage reports whether the lists up to l show that the platform had no outage
+// when the entry of m went missing.
+func (l List) showsNoOutage(m missing) bool {
+	return !l.UnbrokenSince.After(m.listedAt) && m.missedAt.Sub(l.ReadAt) <= gapLimit
 }
 
 // Replace applies a complete list that was requested from the platform at
 // readAt and returns the changes. It ignores a list that was not requested
-// after the newest one.
+// after the newest one. Instances that are missing after a time without lists are
+// kept for returnTime.
 func (r *Roster) Replace(now, readAt time.Time, list []Instance) []Change {
 	if !r.readAt.IsZero() && !readAt.After(r.readAt) {
 		return nil
 	}
-	gap := !r.readAt.IsZero() && readAt.Sub(r.readAt) > gapLimit
-	missing := make(map[string]time.Time)
-	listed := make(map[string]bool, len(list))
-	for _, i := range list {
-		listed[i.ID] = true
+	return r.apply(now, List{ReadAt: readAt, UnbrokenSince: readAt, Instances: list})
+}
+
+// Adopt applies a list that another node requested and returns the changes. A node that
+// had no list for some time cannot tell whether the platform had an outage, and keeps
+// entries that were removed meanwhile. This node takes them over only if it had no list
+// in that time either. An older list does not replace the newest one, but may show that
+// the platform had no outage.
+func (r *Roster) Adopt(now time.Time, l List) []Change {
+	if l.ReadAt.After(r.readAt) {
+		return r.apply(now, l)
 	}
-	for id, old := range r.instances {
-		if listed[id] {
+	var kept []Instance
+	for _, i := range r.Entries() {
+		if m, ok := r.missing[i.ID]; ok && l.showsNoOutage(m) {
+			delete(r.missing, i.ID)
 			continue
 		}
-		until, known := r.missingUntil[id]
-		if gap && !known {
-			until, known = now.Add(returnTime), true
+		kept = append(kept, i)
+	}
+	return r.setInstances(kept)
+}
+
+// apply replaces the entries by those of a newer list, and keeps those that may be missing
+// only because of an outage.
+func (r *Roster) apply(now time.Time, l List) []Change {
+	first := r.readAt.IsZero()
+	outage := first || l.ReadAt.Sub(r.readAt) > gapLimit && l.UnbrokenSince.After(r.readAt)
+	next := l.listed()
+	listed := make(map[string]bool, len(next))
+	for _, i := range next {
+		listed[i.ID] = true
+	}
+	kept := make(map[string]missing)
+	for _, i := range slices.Concat(r.Entries(), l.Instances) {
+		if _, done := kept[i.ID]; listed[i.ID] || done {
+			continue
 		}
-		if known && now.Before(until) {
-			missing[id] = until
-			list = append(list, old)
+		if m, ok := r.missingFrom(now, i.ID, l, outage); ok {
+			kept[i.ID] = m
+			next = append(next, i)
 		}
 	}
-	r.missingUntil = missing
-	return r.setInstances(readAt, list)
+	if outage {
+		r.unbrokenSince = l.UnbrokenSince
+	} else {
+		r.unbrokenSince = earlier(r.unbrokenSince, l.UnbrokenSince)
+	}
+	r.readAt, r.missing = l.ReadAt, kept
+	return r.setInstances(next)
 }
 
-// Adopt applies a list that another node requested at readAt and returns the
-// changes. The other node has already applied the rules for missing entries.
-func (r *Roster) Adopt(readAt time.Time, list []Instance) []Change {
-	if !readAt.After(r.readAt) {
-		return nil
+// missingFrom returns what is known of an entry that the list l lacks, and whether the entry
+// is kept. Outage is set if the platform may have had an outage since the newest list.
+func (r *Roster) missingFrom(now time.Time, id string, l List, outage bool) (m missing, kept bool) {
+	m, wasMissing := r.missing[id]
+	_, wasListed := r.instances[id]
+	switch {
+	case wasMissing && l.showsNoOutage(m):
+		return missing{}, false
+	case wasMissing:
+	case !outage:
+		return missing{}, false
+	case wasListed:
+		m = missing{listedAt: r.readAt, missedAt: l.ReadAt, until: now.Add(returnTime)}
+	default:
+		m = missing{until: now.Add(returnTime)}
+	}
+	if until, ok := l.MissingUntil[id]; ok {
+		m.until = earlier(m.until, until)
+	}
+	return m, now.Before(m.until)
+}
+
+// earlier returns the earlier of two times.
+func earlier(t, u time.Time) time.Time {
+	if u.Before(t) {
+		return u
 	}
-	r.missingUntil = nil
-	return r.setInstances(readAt, list)
+	return t
 }
 
 // setInstances replaces the instances by those of list and returns the changes.
-func (r *Roster) setInstances(readAt time.Time, list []Instance) []Change {
-	r.readAt = readAt
+func (r *Roster) setInstances(list []Instance) []Change {
 	next := make(map[string]Instance, len(list))
 	var changes []Change
 	for _, i := range list {
@@ -135,15 +224,32 @@
 
 // Confirm records that the roster was still current at readAt.
 func (r *Roster) Confirm(readAt time.Time) {
-	if readAt.After(r.readAt) {
-		r.readAt = readAt
+	if !readAt.After(r.readAt) {
+		return
+	}
+	if readAt.Sub(r.readAt) > gapLimit {
+		r.unbrokenSince = readAt
 	}
+	r.readAt = readAt
 }
 
 // ReadAt returns when the newest list was requested from the platform, or the
 // zero time if there is none.
 func (r *Roster) ReadAt() time.Time { return r.readAt }
 
+// List returns the entries as Adopt takes them.
+func (r *Roster) List() List {
+	l := List{ReadAt: r.readAt, UnbrokenSince: r.unbrokenSince, Instances: r.Entries(), MissingUntil: make(map[string]time.Time)}
+	for id, m := range r.missing {
+		l.MissingUntil[id] = m.until
+	}
+	return l
+}
+
+// Missing returns the number of instances that are kept although the newest list lacks
+// them.
+func (r *Roster) Missing() int { return len(r.missing) }
+
 // Entries returns all entries ordered by ID, including those that Select does not
 // count as instances. Nodes exchange all entries, as they may know different
 // configurations.
@@ -211,12 +317,16 @@
 	return cmp.Or(cmp.Compare(i.Revision, j.Revision), cmp.Compare(i.ID, j.ID)) > 0
 }
 
-// Digest returns a hash of all entries without their revisions.
+// Digest returns a hash of all entries without their revisions. It distinguishes entries
+// that are kept although the newest list lacks them.
 func (r *Roster) Digest() uint64 {
 	h := xxhash.New()
 	for _, i := range r.Entries() {
 		_, _ = fmt.Fprintf(h, "%q %d %q %v %q %d %t %t\n", i.ID, i.StartedAt.UnixMilli(), i.Service, i.Address,
 			i.DataCentre, i.Slots, i.Draining, i.Cold)
+		if _, ok := r.missing[i.ID]; ok {
+			_, _ = fmt.Fprintln(h, "missing")
+		}
 	}
 	return h.Sum64()
 }
--- a/lib/decision/roster/roster_test.go
+++ b/lib/decision/roster/roster_test.go
@@ -61,19 +61,109 @@
 	golden.Check(t, "replace", b.String())
 }
 
+// listAt returns the list of a node that has read no list before it.
+func listAt(at time.Duration, entries ...Instance) List {
+	return List{ReadAt: start.Add(at), UnbrokenSince: start.Add(at), Instances: entries}
+}
+
+// fleet is a set of nodes that read lists and adopt those of each other.
+type fleet struct {
+	nodes map[string]*Roster
+	out   strings.Builder
+}
+
+// read applies a list that a node requested at the given time, 10 ms later.
+func (f *fleet) read(node string, at time.Duration, list ...string) {
+	var entries []Instance
+	for _, id := range list {
+		entries = append(entries, entry(id))
+	}
+	readAt := start.Add(at)
+	f.note(at, node+" reads "+strings.Join(list, " "), node, f.node(node).Replace(readAt.Add(10*time.Millisecond), readAt, entries))
+}
+
+// adopt lets a node adopt the list of another one.
+func (f *fleet) adopt(node string, at time.Duration, from string) {
+	f.note(at, node+" adopts from "+from, node, f.node(node).Adopt(start.Add(at), f.node(from).List()))
+}
+
+func (f *fleet) node(name string) *Roster {
+	if f.nodes == nil {
+		f.nodes = make(map[string]*Roster)
+	}
+	if f.nodes[name] == nil {
+		f.nodes[name] = &Roster{}
+	}
+	return f.nodes[name]
+}
+
+func (f *fleet) note(at time.Duration, what, node string, changes []Change) {
+	r := f.node(node)
+	fmt.Fprintf(&f.out, "%v %s: %s; has %s, %d missing\n", at, what, render(changes), ids(r.Entries()), r.Missing())
+}
+
+// TestReturnFromCut guards against a node that returns from a cut and brings instances
+// back, at all nodes that adopt its list, that left meanwhile.
+func TestReturnFromCut(t *testing.T) {
+	var f fleet
+	const step = 450 * time.Millisecond
+	for _, node := range []string{"cut", "other"} {
+		f.read(node, 0, "1", "2", "3")
+	}
+	f.read("other", step, "1", "2", "3")
+	f.read("other", 2*step, "1", "2", "3")
+	f.read("other", 3*step, "1", "2")
+	f.read("other", 4*step, "1", "2")
+	f.read("cut", 5*step, "1", "2")
+	f.adopt("other", 5*step+20*time.Millisecond, "cut")
+	f.adopt("cut", 5*step+30*time.Millisecond, "other")
+	f.read("other", 6*step, "1", "2")
+	f.adopt("cut", 6*step+20*time.Millisecond, "other")
+	f.read("other", 7*step, "2")
+	f.adopt("cut", 7*step+20*time.Millisecond, "other")
+	golden.Check(t, "cut", f.out.String())
+}
+
+// TestOutage guards against instances that are removed although only their entries expired
+// in an outage of the platform, wherever a node has its list from, and against instances
+// that stay although they did not return.
+func TestOutage(t *testing.T) {
+	var f fleet
+	for _, node := range []string{"reader", "other", "late"} {
+		f.read(node, 0, "1", "2", "3", "4")
+	}
+	f.read("reader", 6*time.Second, "1")
+	f.adopt("other", 6020*time.Millisecond, "reader")
+	f.read("new", 6100*time.Millisecond, "1")
+	f.adopt("reader", 6120*time.Millisecond, "new")
+	f.adopt("late", 6130*time.Millisecond, "new")
+	f.adopt("newer", 6140*time.Millisecond, "reader")
+	f.read("other", 6450*time.Millisecond, "1", "2")
+	f.adopt("reader", 6470*time.Millisecond, "other")
+	f.adopt("late", 6480*time.Millisecond, "other")
+	f.adopt("newer", 6490*time.Millisecond, "other")
+	f.read("other", 7*time.Second, "1", "2", "3")
+	f.read("other", 8300*time.Millisecond, "1", "2", "3")
+	for _, node := range []string{"reader", "late", "newer"} {
+		f.adopt(node, 8320*time.Millisecond, "other")
+	}
+	f.read("reader", 8750*time.Millisecond, "1", "2", "3")
+	golden.Check(t, "outage", f.out.String())
+}
+
 // TestAdopt guards against adopting a list of another node that is older than
 // the node's own.
 func TestAdopt(t *testing.T) {
 	var r Roster
 	var b strings.Builder
-	fmt.Fprintln(&b, "newer:", render(r.Adopt(start.Add(time.Second), []Instance{entry("1"), entry("2")})))
-	fmt.Fprintln(&b, "older:", render(r.Adopt(start, []Instance{entry("3")})))
+	fmt.Fprintln(&b, "newer:", render(r.Adopt(start.Add(time.Second), listAt(time.Second, entry("1"), entry("2")))))
+	fmt.Fprintln(&b, "older:", render(r.Adopt(start, listAt(0, entry("3")))))
 	r.Confirm(start.Add(3 * time.Second))
-	fmt.Fprintln(&b, "older than confirmed:", render(r.Adopt(start.Add(2*time.Second), []Instance{entry("3")})))
+	fmt.Fprintln(&b, "older than confirmed:", render(r.Adopt(start.Add(2*time.Second), listAt(2*time.Second, entry("3")))))
 	other := Roster{}
-	other.Adopt(start, []Instance{entry("2", heartbeat), entry("1", heartbeat)})
+	other.Adopt(start, listAt(0, entry("2", heartbeat), entry("1", heartbeat)))
 	fmt.Fprintln(&b, "same digest without revisions:", r.Digest() == other.Digest())
-	other.Adopt(start.Add(time.Second), []Instance{entry("1"), entry("2", draining)})
+	other.Adopt(start.Add(time.Second), listAt(time.Second, entry("1"), entry("2", draining)))
 	fmt.Fprintln(&b, "other digest when draining:", r.Digest() != other.Digest())
 	golden.Check(t, "adopt", b.String())
 }
--- a/sidecar/publication/publication.go
+++ b/sidecar/publication/publication.go
@@ -192,9 +192,24 @@
 	if s.stale(now) && !s.fetching && len(s.remotePeers) > 0 && now.After(s.fetchAfter) {
 		s.fetchSnapshot(ctx, now, s.remotePeers[s.Random.IntN(len(s.remotePeers))])
 	}
+	s.askAboutMissing(ctx, now)
 	s.checkProof(s.Boot())
 }
 
+// askAboutMissing asks another sidecar for its list while this one keeps instances that its
+// own list lacks. The other list may show that the platform had no outage, and that the
+// instances have left.
+func (s *Service) askAboutMissing(ctx context.Context, now time.Time) {
+	others := s.dataCentrePeers
+	if len(others) == 0 {
+		others = s.remotePeers
+	}
+	if s.roster.Missing() == 0 || s.fetching || len(others) == 0 || !now.After(s.fetchAfter) {
+		return
+	}
+	s.fetchSnapshot(ctx, now, others[s.Random.IntN(len(others))])
+}
+
 func (s *Service) stale(now time.Time) bool { return now.Sub(s.roster.ReadAt()) > staleLimit }
 
 // rank returns the position of this VM among those of its data centre, in the
@@ -280,8 +295,13 @@
 // readBoot, if it is newer.
 func (s *Service) replaceList(readBoot time.Time, source string, replace func() []roster.Change) {
 	before := s.roster.ReadAt()
+	missing := s.roster.Missing()
 	changes := replace()
 	s.recordReadBoot(before, readBoot)
+	if n := s.roster.Missing(); n != missing {
+		s.Log.Info("The number of instances that are kept although the list lacks them changed.", "instances", n, "before", missing,
+			"source", source, "sincePreviousList", s.roster.ReadAt().Sub(before))
+	}
 	s.applyChanges(changes, source)
 }
 
--- a/sidecar/publication/snapshot.go
+++ b/sidecar/publication/snapshot.go
@@ -25,8 +25,9 @@
 // version known. An age of -1 means that no list of instances has been read.
 func (s *Service) snapshot(now time.Time, known uint64) *wire.SnapshotReply {
 	reply := &wire.SnapshotReply{Age: -1, ConfigVersion: s.config.version()}
-	if !s.roster.ReadAt().IsZero() {
-		reply.Age = int64(now.Sub(s.roster.ReadAt()))
+	list := s.roster.List()
+	if !list.ReadAt.IsZero() {
+		reply.Age, reply.Unbroken = int64(now.Sub(list.ReadAt)), int64(now.Sub(list.UnbrokenSince))
 	}
 	if s.exchangesProof() {
 		reply.ConfigAge = int64(s.proofOf(s.config.version()).Statement(s.Boot()).Age)
@@ -34,10 +35,14 @@
 	if s.config.version() > known {
 		reply.Config = s.config.document
 	}
-	for _, i := range s.roster.Entries() {
-		reply.Instances = append(reply.Instances, &wire.InstanceRecord{Id: i.ID, Born: i.StartedAt.UnixMilli(),
+	for _, i := range list.Instances {
+		record := &wire.InstanceRecord{Id: i.ID, Born: i.StartedAt.UnixMilli(),
 			Service: i.Service, Address: i.Address.String(), DataCentre: i.DataCentre, Slots: int32(i.Slots),
-			Draining: i.Draining, Cold: i.Cold, Revision: i.Revision})
+			Draining: i.Draining, Cold: i.Cold, Revision: i.Revision}
+		if until, ok := list.MissingUntil[i.ID]; ok {
+			record.MissingFor = int64(max(1, until.Sub(now)))
+		}
+		reply.Instances = append(reply.Instances, record)
 	}
 	return reply
 }
@@ -52,10 +57,27 @@
 	if r.GetAge() < 0 {
 		return
 	}
-	list, invalid := decodeInstances(r.GetInstances())
+	list, invalid := decodeList(now, r)
 	s.recordInvalid(invalid, from.String())
-	age := time.Duration(r.GetAge())
-	s.replaceList(asked.Add(-age), from.String(), func() []roster.Change { return s.roster.Adopt(now.Add(-age), list) })
+	s.replaceList(asked.Add(-time.Duration(r.GetAge())), from.String(), func() []roster.Change { return s.roster.Adopt(now, list) })
+}
+
+// decodeList returns the list of a reply that arrived at now, and an error for each record
+// that describes no instance. Sidecars of earlier versions do not say since when the
+// platform had no outage.
+func decodeList(now time.Time, r *wire.SnapshotReply) (list roster.List, invalid []error) {
+	list = roster.List{ReadAt: now.Add(-time.Duration(r.GetAge())), MissingUntil: make(map[string]time.Time)}
+	list.UnbrokenSince = list.ReadAt
+	if unbroken := time.Duration(r.GetUnbroken()); unbroken > 0 {
+		list.UnbrokenSince = now.Add(-unbroken)
+	}
+	list.Instances, invalid = decodeInstances(r.GetInstances())
+	for _, i := range r.GetInstances() {
+		if left := time.Duration(i.GetMissingFor()); left > 0 {
+			list.MissingUntil[i.GetId()] = now.Add(left)
+		}
+	}
+	return list, invalid
 }
 
 // decodeInstances returns the instances of the records, and an error for each
--- a/sidecar/publication/snapshot_test.go
+++ b/sidecar/publication/snapshot_test.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/matryer/is"
+
+	"cassiarack.example/lib/decision/roster"
 	"cassiarack.example/lib/golden"
 	"cassiarack.example/lib/wire"
 )
@@ -37,3 +42,33 @@
 	}
 	golden.Check(t, "records", b.String())
 }
+
+// TestMissingInSnapshot guards against instances that a sidecar keeps only because it missed
+// their removal, and that another one takes for instances of the platform's list.
+func TestMissingInSnapshot(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	entries := func(ids ...string) (list []roster.Instance) {
+		for n, id := range ids {
+			list = append(list, roster.Instance{ID: id, Service: "s", Slots: 1, StartedAt: now.Truncate(time.Second),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)})
+		}
+		return list
+	}
+	cut, other := newProofTest(t, 0).s, newProofTest(t, 0).s
+	for _, s := range []*Service{cut, other} {
+		s.roster.Replace(now.Add(-5*time.Second), now.Add(-5*time.Second), entries("a", "b"))
+	}
+	for ago := 4 * time.Second; ago > 0; ago -= time.Second {
+		other.roster.Replace(now.Add(-ago), now.Add(-ago), entries("a"))
+	}
+	cut.roster.Replace(now, now, entries("a"))
+	is.Equal(len(cut.roster.Entries()), 2)
+	is.True(cut.roster.Digest() != other.roster.Digest())
+	other.adoptSnapshot(now, other.Boot(), otherSidecar, cut.snapshot(now, 7))
+	is.Equal(len(other.roster.Entries()), 1)
+	is.Equal(other.roster.ReadAt(), now)
+	cut.adoptSnapshot(now, cut.Boot(), otherSidecar, other.snapshot(now, 7))
+	is.Equal(len(cut.roster.Entries()), 1)
+	is.Equal(cut.roster.Digest(), other.roster.Digest())
+}
