--- a/lib/decision/roster/roster.go
+++ b/lib/decision/roster/roster.go
@@ -88,8 +88,8 @@
 type List struct {
 	// ReadAt is when the list was requested from the platform.
 	ReadAt time.Time
-	// UnbrokenSince is the time since which the platform had no outage: lists that
-	// the node knows of were requested at intervals of at most gapLimit.
+	// UnbrokenSince is the time since which lists were requested at intervals of at
+	// most gapLimit, by any node, so that the platform had no outage.
 	UnbrokenSince time.Time
 	// Instances holds all entries, including those in MissingUntil.
 	Instances []Instance
--- a/sidecar/relay/calls.go
+++ b/sidecar/relay/calls.go
@@ -25,6 +25,9 @@
 	}
 	results := make(chan result, 1)
 	if err := c.runAndWait(ctx, func(now time.Time) {
+		if ctx.Err() != nil {
+			return // nobody would return the calls
+		}
 		reserved, ok := c.reserveCalls(now, callFailed)
 		results <- result{reserved, ok}
 	}); err != nil {
