--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -74,7 +74,7 @@
 
 	commands  *ring.Ring[func(now time.Time)]
 	executing atomic.Int64
-	// calls may be nil.
+	// calls is nil if nothing accounts for the calls of the instance.
 	calls CallBudget
 	// stopped is closed when Run has returned and no command is handled any more.
 	stopped chan struct{}
