Restore the run time of the load in TestWindowBudgetCalls

Cause: rewrote the test for two loads and, without saying so, gave the existing one ("many nodes") runs of 300 ms on average, instead of 940 ms.

Change: the run time belongs to the load; that of "many nodes" is 940 ms again.

No product code changes.

--- a/lib/decision/retry/calls_test.go
+++ b/lib/decision/retry/calls_test.go
@@ -26,13 +26,14 @@
 	// calls is the number of calls of a run, if it makes any, and attempts the number of
 	// instances that a request to the calling service may be sent to.
 	calls, attempts int
+	// runTime is the time of a run.
+	runTime time.Duration
 }
 
 const (
 	callRatio   = 0.2
 	callShare   = 0.85 // part of the budget that nodes use
 	callWindow  = 10 * time.Second
-	callRunTime = 300 * time.Millisecond
 	callingRuns = 0.7 // part of the runs that make calls
 	shedShare   = 0.55
 	// callOffers is the number of instances of the called service that a call may be sent
@@ -158,7 +159,7 @@
 			return
 		}
 		p.estimators[node].Start(now)
-		p.runs[node] = append(p.runs[node], run{now.Add(time.Duration(p.rng.ExpFloat64() * float64(callRunTime))), n > 0})
+		p.runs[node] = append(p.runs[node], run{now.Add(p.runTime), n > 0})
 		ok := true
 		for range p.calls {
 			if makesCalls && !p.call(now, node, n > 0) {
@@ -216,8 +217,10 @@
 func TestWindowBudgetCalls(t *testing.T) {
 	var b strings.Builder
 	for _, l := range []callLoad{
-		{name: "many nodes", nodes: 89, callers: 31, slack: 186, called: 196, calling: 84, calls: 1, attempts: 2},
-		{name: "few nodes, two calls", nodes: 27, callers: 6, slack: 64, called: 40, calling: 14, calls: 2, attempts: 4},
+		{name: "many nodes", nodes: 89, callers: 31, slack: 186, called: 196, calling: 84, calls: 1, attempts: 2,
+			runTime: 940 * time.Millisecond},
+		{name: "few nodes, two calls", nodes: 27, callers: 6, slack: 64, called: 40, calling: 14, calls: 2, attempts: 4,
+			runTime: 300 * time.Millisecond},
 	} {
 		for _, a := range []accounting{notAccounted, byShare, reserved} {
 			p := l.play(a)
